New executors open by time without failures; long work waits only for short work that comes

Change: starts that run for a trial step of 10 ms without a failure double the limit of an executor that was never ejected; long work has all slots until the first short work.

--- a/include/anvilmill/dispatch/executorhealth.h
+++ b/include/anvilmill/dispatch/executorhealth.h
@@ -15,12 +15,15 @@
     Duration longestProbeInterval = std::chrono::seconds(60);
     /// Largest share of the executors that may be ejected at once.
     double largestEjectedShare = 0.3;
+    /// A new executor whose starts have not failed for this long may hold twice as many. An
+    /// executor that fails what it starts does so within a few milliseconds.
+    Duration trialStep = std::chrono::milliseconds(10);
 };
 
 /// \brief Decides how many starts one executor may hold, from how its starts ended.
 ///
-/// A new executor gets one start at a time and twice as many after each success. An ejected one
-/// gets a single probe after an interval that doubles with each failed probe.
+/// A new executor gets one start at a time and twice as many after each success, or after each
+/// trial step in which its starts ran without a failure. An ejected one gets a single probe after an interval that doubles with each failed probe.
 ///
 /// Thread safety: one thread at a time.
 class ExecutorHealth
@@ -30,6 +33,9 @@
 
     void succeeded() noexcept;
 
+    /// \brief Records that starts in flight ran for a trial step without a failure.
+    void outlastedTrialStep() noexcept;
+
     /// \brief Records a failure; returns true if the executor should be ejected.
     [[nodiscard]] bool failed() noexcept;
 
--- a/include/anvilmill/dispatch/executorpool.h
+++ b/include/anvilmill/dispatch/executorpool.h
@@ -94,6 +94,8 @@
         bool isKnown = false;
         bool isListed = false;
         bool isStalled = false;
+        /// When starts in flight on trial count as outlasted, if any are.
+        std::optional<MonotonicTime> trialStepAt;
         /// The key in its group's free slots, if there.
         std::optional<double> listedSpeed;
         int listedSlots = 0;
@@ -115,6 +117,8 @@
     void recordSuccess(std::size_t index, std::size_t service);
     void recordFailure(std::size_t index, std::size_t service);
     void pause(std::size_t index);
+    void awaitTrialStep(std::size_t index);
+    void finishTrialStep(std::size_t index);
     void wakeAt(MonotonicTime time, std::size_t index);
     void refreshCapacities();
     [[nodiscard]] Capacity sumOf(const std::vector<std::size_t> &groups) const;
--- a/include/anvilmill/dispatch/longworklimit.h
+++ b/include/anvilmill/dispatch/longworklimit.h
@@ -7,7 +7,7 @@
 /// \brief Bounds the slots that long work may hold, by what short work has been needing.
 ///
 /// The share of the capacity that short work starts is averaged over the last seconds; long work
-/// gets what that leaves, and never less than a small share.
+/// gets what that leaves, and never less than a small share. Until the first short work it gets all.
 ///
 /// Thread safety: one thread at a time.
 class LongWorkLimit
--- a/src/lib/dispatch/executorhealth.cpp
+++ b/src/lib/dispatch/executorhealth.cpp
@@ -25,6 +25,12 @@
     m_probeInterval = {};
 }
 
+void ExecutorHealth::outlastedTrialStep() noexcept
+{
+    if (!m_isEjected && m_failuresInARow == 0)
+        m_limit = std::min(m_limit * 2, LargestLimit);
+}
+
 bool ExecutorHealth::failed() noexcept
 {
     ++m_failuresInARow;
--- a/src/lib/dispatch/executorpool.cpp
+++ b/src/lib/dispatch/executorpool.cpp
@@ -64,6 +64,7 @@
                                false,
                                false,
                                std::nullopt,
+                               std::nullopt,
                                0});
         m_executors.back().lastEnd = m_clock.now();
     }
@@ -169,6 +170,7 @@
     Executor &entry = m_executors[executor];
     if (entry.inFlight++ == 0)
         entry.lastEnd = m_clock.now();
+    awaitTrialStep(executor);
     updateListing(executor);
 }
 
@@ -226,6 +228,30 @@
     wakeAt(executor.pausedUntil, index);
 }
 
+void ExecutorPool::awaitTrialStep(std::size_t index)
+{
+    Executor &executor = m_executors[index];
+    if (executor.trialStepAt || executor.health.isEjected()
+        || !executor.health.isOnTrial(executor.info.slots))
+        return;
+    executor.trialStepAt = m_clock.now() + m_settings.trialStep;
+    wakeAt(*executor.trialStepAt, index);
+}
+
+void ExecutorPool::finishTrialStep(std::size_t index)
+{
+    Executor &executor = m_executors[index];
+    if (!executor.trialStepAt || *executor.trialStepAt > m_clock.now())
+        return;
+    const MonotonicTime began = *executor.trialStepAt - m_settings.trialStep;
+    executor.trialStepAt.reset();
+    if (executor.inFlight == 0)
+        return;
+    if (executor.lastEnd <= began)
+        executor.health.outlastedTrialStep();
+    awaitTrialStep(index);
+}
+
 void ExecutorPool::wakeAt(MonotonicTime time, std::size_t index)
 {
     m_wakes.emplace(time, index);
@@ -267,6 +293,7 @@
     while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
         const std::size_t index = m_wakes.begin()->second;
         m_wakes.erase(m_wakes.begin());
+        finishTrialStep(index);
         updateListing(index);
     }
     if (now >= m_capacitiesDue)
--- a/src/lib/dispatch/longworklimit.cpp
+++ b/src/lib/dispatch/longworklimit.cpp
@@ -32,7 +32,8 @@
 
 int LongWorkLimit::slotsForLong(MonotonicTime now, int totalSlots, double capacity) const
 {
-    if (capacity <= 0.0)
+    const bool hasSeenShort = m_workSeconds > 0.0;
+    if (capacity <= 0.0 || !hasSeenShort)
         return totalSlots;
     const double reserved = ShortHeadroom * shortWorkPerSecond(now) / capacity;
     const double share = std::clamp(1.0 - reserved, LeastLongShare, MostLongShare);
--- a/tests/unit/test_dispatch_health.cpp
+++ b/tests/unit/test_dispatch_health.cpp
@@ -14,6 +14,8 @@
 {
     CPPUNIT_TEST_SUITE(DispatchHealthTest);
     CPPUNIT_TEST(newExecutorGetsOneStartThenTwice);
+    CPPUNIT_TEST(startsThatOutlastTrialStepsOpenNewExecutor);
+    CPPUNIT_TEST(failureEndsGrowthByTrialSteps);
     CPPUNIT_TEST(executorThatFailsEverythingGetsFewProbes);
     CPPUNIT_TEST(healedExecutorComesBack);
     CPPUNIT_TEST(correlatedFailuresEjectNoMoreThanTheCap);
@@ -44,6 +46,30 @@
         CPPUNIT_ASSERT_EQUAL(8, m_pool->freeSlots());
     }
 
+    void startsThatOutlastTrialStepsOpenNewExecutor()
+    {
+        useExecutors(1);
+        m_pool->take(0);
+        CPPUNIT_ASSERT_EQUAL(0, m_pool->freeSlots());
+        for (const int free : {1, 3, 7}) {
+            m_clock->advance(HealthSettings{}.trialStep);
+            m_pool->refresh();
+            CPPUNIT_ASSERT_EQUAL(free, m_pool->freeSlots());
+        }
+    }
+
+    void failureEndsGrowthByTrialSteps()
+    {
+        useExecutors(1);
+        run(StartEnd::Done);
+        m_pool->take(0);
+        m_pool->take(0);
+        m_pool->release(0, 0, StartEnd::Failed);
+        m_clock->advance(HealthSettings{}.trialStep);
+        m_pool->refresh();
+        CPPUNIT_ASSERT_EQUAL(1, m_pool->freeSlots());
+    }
+
     void executorThatFailsEverythingGetsFewProbes()
     {
         useExecutors(10);
