--- /dev/null
+++ b/include/anvilmill/executor/resources.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+
+namespace anvilmill {
+
+/// \brief What a task asks for, or an executor offers. The parts are never negative.
+struct Resources
+{
+    /// Thousandths of a core.
+    std::int64_t cpuMillis = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t gpus = 0;
+
+    /// \brief True if all of this fits into \p room.
+    [[nodiscard]] bool fitsInto(const Resources &room) const noexcept
+    {
+        return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && gpus <= room.gpus;
+    }
+
+    Resources &operator+=(const Resources &other) noexcept
+    {
+        cpuMillis += other.cpuMillis;
+        memoryMb += other.memoryMb;
+        gpus += other.gpus;
+        return *this;
+    }
+
+    Resources &operator-=(const Resources &other) noexcept
+    {
+        cpuMillis -= other.cpuMillis;
+        memoryMb -= other.memoryMb;
+        gpus -= other.gpus;
+        return *this;
+    }
+
+    [[nodiscard]] friend bool operator==(const Resources &left, const Resources &right) noexcept
+    {
+        return left.cpuMillis == right.cpuMillis && left.memoryMb == right.memoryMb
+               && left.gpus == right.gpus;
+    }
+};
+
+} // namespace anvilmill
--- a/include/anvilmill/platform/keyvaluestore.h
+++ b/include/anvilmill/platform/keyvaluestore.h
@@ -32,9 +32,14 @@
     Unreachable,
     /// The call was sent and its answer lost: it may have taken effect, or may yet.
     Unknown,
+    /// The changes asked for are no longer kept: read everything again.
+    HistoryGone,
+    /// The lease has ended or was never granted.
+    NoLease,
 };
 
-/// \brief The spelling used in logs: `done`, `conflict`, `unchanged`, `unreachable`, `unknown`.
+/// \brief The spelling used in logs: `done`, `conflict`, `unchanged`, `unreachable`, `unknown`,
+/// `historyGone`, `noLease`.
 [[nodiscard]] std::string_view asString(CallOutcome outcome) noexcept;
 
 /// \brief A key with its value, as it was written last.
--- /dev/null
+++ b/include/anvilmill/scheduling/batchjob.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/executor/resources.h"
+#include "anvilmill/executor/run.h"
+#include "anvilmill/job.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace anvilmill {
+
+/// \brief How the configuration says that jobs of one route are to be run.
+struct RoutePolicy
+{
+    std::string route;
+    /// The executors that run the route's tasks.
+    std::string service;
+    /// 0 goes first.
+    int priority = 0;
+    /// Runs of one task that may end as failed.
+    int maxAttempts = 1;
+    /// A response is in time within stretch times the longest task, and the target more.
+    double stretch = 1.0;
+    Duration target{};
+    /// Longest time that a request may take.
+    Duration timeout{};
+};
+
+/// \brief A task of a batch job: what it needs and how long its caller thinks it takes.
+struct TaskDemand
+{
+    Resources resources;
+    Duration estimate{};
+};
+
+/// \brief A job whose tasks need resources rather than slots, answered when all have ended.
+struct BatchJob
+{
+    /// The caller's name for the job; part of the name of each task.
+    std::string id;
+    std::shared_ptr<const RoutePolicy> route;
+    /// Passed to each task.
+    std::shared_ptr<const std::string> spec;
+    std::vector<TaskDemand> tasks;
+    MonotonicTime arrived;
+    /// When the caller stops waiting.
+    MonotonicTime deadline;
+};
+
+/// \brief How a batch job ended.
+enum class BatchEnd {
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as its route allows.
+    Failed,
+    /// Nothing of the job has run or will run.
+    Refused,
+    /// The job was started and can't be finished in time; the caller may send it again.
+    Broken,
+    /// The caller cancelled it or went away.
+    Cancelled,
+};
+
+/// \brief The spelling used in logs.
+[[nodiscard]] const char *asString(BatchEnd end) noexcept;
+
+/// \brief A finished job, with what decided its end.
+struct BatchResult
+{
+    BatchEnd end = BatchEnd::Completed;
+    /// Why, if not completed; a word for logs and metrics.
+    std::string cause;
+    /// Refused: when the caller may come again.
+    Duration retryAfter{};
+    int runs = 0;
+    Duration waited{};
+};
+
+/// \brief An order to start one task of a batch job.
+struct TaskStart
+{
+    RunId run;
+    TaskRef task;
+    /// Index in the room view.
+    std::size_t executor = 0;
+    Resources demand;
+    std::shared_ptr<const std::string> spec;
+    MonotonicTime deadline;
+};
+
+/// \brief What a batch scheduler orders; called from within its methods.
+class BatchOutput
+{
+public:
+    virtual ~BatchOutput() = default;
+
+    virtual void startTask(const TaskStart &start) = 0;
+    virtual void stopTask(std::size_t executor, const RunId &run) = 0;
+    virtual void jobEnded(JobNumber job, const BatchResult &result) = 0;
+};
+
+} // namespace anvilmill
--- /dev/null
+++ b/include/anvilmill/scheduling/roomview.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/executor/executorregistration.h"
+#include "anvilmill/executor/resources.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace anvilmill {
+
+/// \brief Room of one executor, as its holder sees it.
+struct RoomReport
+{
+    std::string executor;
+    Resources room;
+};
+
+/// \brief Where a task may be placed, best first by speed.
+struct RoomQuery
+{
+    std::string service;
+    Resources demand;
+    /// Executors to leave out, by index.
+    const std::vector<std::size_t> *excluded = nullptr;
+};
+
+/// \brief The executors of all data centres with the room that their holders reported last.
+///
+/// Room that was asked for and not answered yet counts as taken, so that one report does not
+/// draw two tasks. A report that is older than the staleness limit offers no room.
+///
+/// Thread safety: one thread at a time.
+class RoomView
+{
+public:
+    /// Precondition: \p clock outlives the view. \p dataCentre is this host's own.
+    RoomView(const Clock &clock, std::string dataCentre, Duration staleAfter);
+
+    /// \brief Adds an executor or takes what changed; returns its index, which stays.
+    std::size_t update(const ExecutorRegistration &registration);
+
+    /// \brief The executor has left the list; its index stays.
+    void remove(const std::string &executor);
+
+    /// \brief Takes a report; unknown executors are left out.
+    void report(const RoomReport &report);
+
+    /// \brief Counts \p demand as taken until answered().
+    void asked(std::size_t executor, const Resources &demand);
+
+    /// \brief The holder has answered; its reports now count the demand themselves.
+    void answered(std::size_t executor, const Resources &demand);
+
+    /// \brief The holder had no room: nothing is free until its next report.
+    void refused(std::size_t executor);
+
+    /// \brief Learned speed relative to an average executor.
+    void setSpeed(std::size_t executor, double speed);
+
+    /// \brief No starts on the executor until \p until; for executors that fail what they start.
+    void avoid(std::size_t executor, MonotonicTime until);
+
+    /// \brief The best executor with room for the demand.
+    ///
+    /// The fastest; among equally fast ones the own data centre's, then the tightest fit.
+    [[nodiscard]] std::optional<std::size_t> bestFor(const RoomQuery &query) const;
+
+    /// \brief Cores times speed of all executors of \p service that are listed and not avoided.
+    [[nodiscard]] double capacityOf(const std::string &service) const;
+    [[nodiscard]] bool isServed(const std::string &service) const;
+
+    /// \brief How many executors could run \p demand if they were idle.
+    [[nodiscard]] std::size_t fittingExecutors(const std::string &service,
+                                               const Resources &demand) const;
+
+    [[nodiscard]] const std::string &idOf(std::size_t executor) const;
+    [[nodiscard]] std::optional<std::size_t> find(const std::string &executor) const;
+    [[nodiscard]] std::size_t listed() const noexcept { return m_listed; }
+
+private:
+    struct Entry
+    {
+        ExecutorRegistration registration;
+        Resources room;
+        Resources asked;
+        MonotonicTime reported;
+        MonotonicTime avoidedUntil;
+        double speed = 1.0;
+        /// Executors of one class count as equally fast.
+        int speedClass = 0;
+        bool isListed = false;
+        bool hasReport = false;
+    };
+
+    [[nodiscard]] bool isUsable(const Entry &entry, const std::string &service) const;
+    [[nodiscard]] bool offers(const Entry &entry, const RoomQuery &query) const;
+    [[nodiscard]] bool isBetter(const Entry &left, const Entry &right) const;
+
+    const Clock &m_clock;
+    std::string m_dataCentre;
+    Duration m_staleAfter;
+    std::vector<Entry> m_entries;
+    std::unordered_map<std::string, std::size_t> m_indexes;
+    std::size_t m_listed = 0;
+};
+
+} // namespace anvilmill
--- /dev/null
+++ b/src/daemon/batch/batchhost.cpp
@@ -0,0 +1,473 @@
+#include "batchhost.h"
+
+#include "log.h"
+
+#include <time.h>
+
+#include <algorithm>
+
+namespace anvilmill::daemon {
+
+using wire::meshframe::MeshClaim;
+using wire::meshframe::MeshEnd;
+using wire::meshframe::MeshReply;
+using wire::meshframe::MeshRoom;
+using wire::meshframe::MeshRun;
+using wire::meshframe::MeshStart;
+using wire::meshframe::Outcome;
+
+namespace {
+
+/// Changes of room within this time go out together. A round trip between data centres is 2 ms.
+constexpr Duration RoomInterval = std::chrono::milliseconds(4);
+/// All room is told this often, so that a host that is cut off shows by its silence.
+constexpr Duration AllRoomInterval = std::chrono::milliseconds(250);
+/// Room that was told longer ago is not counted on: three tellings were missed.
+constexpr Duration RoomStaleAfter = std::chrono::milliseconds(900);
+/// Reading two clocks one after the other takes far less.
+constexpr Duration SuspensionTolerance = std::chrono::milliseconds(100);
+
+Duration sinceBoot()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+struct OutcomePair
+{
+    RunOutcome own;
+    Outcome wire;
+};
+
+constexpr OutcomePair Outcomes[] = {
+        {RunOutcome::Done, Outcome::Done},
+        {RunOutcome::Failed, Outcome::Failed},
+        {RunOutcome::Stopped, Outcome::Stopped},
+        {RunOutcome::Lapsed, Outcome::Lapsed},
+        {RunOutcome::Broken, Outcome::Broken},
+        {RunOutcome::Lost, Outcome::Lost},
+        {RunOutcome::NotStarted, Outcome::NotStarted},
+        {RunOutcome::Superseded, Outcome::Superseded},
+};
+
+Outcome asWire(RunOutcome outcome)
+{
+    const auto *const pair =
+            std::find_if(std::begin(Outcomes), std::end(Outcomes),
+                         [=](const OutcomePair &each) { return each.own == outcome; });
+    return pair->wire;
+}
+
+RunOutcome fromWire(Outcome outcome)
+{
+    const auto *const pair =
+            std::find_if(std::begin(Outcomes), std::end(Outcomes),
+                         [=](const OutcomePair &each) { return each.wire == outcome; });
+    return pair->own;
+}
+
+template <typename Message>
+RunId runOf(const Message &message)
+{
+    return {message.task, static_cast<std::uint64_t>(message.run)};
+}
+
+template <typename Message>
+Resources resourcesOf(const Message &message)
+{
+    return {message.cpu, message.memory, message.gpus};
+}
+
+template <typename Message>
+void setRun(Message &message, const RunId &run)
+{
+    message.task = run.task;
+    message.run = static_cast<std::int64_t>(run.number);
+}
+
+template <typename Message>
+void setResources(Message &message, const Resources &resources)
+{
+    message.cpu = resources.cpuMillis;
+    message.memory = resources.memoryMb;
+    message.gpus = resources.gpus;
+}
+
+template <typename Message>
+void append(std::optional<std::vector<Message>> &list, Message message)
+{
+    if (!list)
+        list.emplace();
+    list->push_back(std::move(message));
+}
+
+/// Index of \p spec among the frame's; the tasks of one job come one after the other.
+std::int64_t specIndex(wire::meshframe::MeshFrame &frame, const std::string &spec)
+{
+    if (!frame.specs || frame.specs->back() != spec)
+        append(frame.specs, spec);
+    return static_cast<std::int64_t>(frame.specs->size()) - 1;
+}
+
+} // namespace
+
+BatchHost::BatchHost(boost::asio::io_context &loop, TimerQueue &timers, const Clock &clock,
+                     RandomSource &random, ExecutorCalls &calls, const BatchHostSettings &settings)
+    : m_timers(timers)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_view(clock, settings.dataCentre, RoomStaleAfter)
+    , m_scheduler(clock, random, m_view, *this)
+    , m_holder(clock, timers, calls, settings.hold,
+               {[this](const RunEnd &end) { runEnded(end); }, [this] { roomChanged(); }})
+    , m_mesh(loop, timers, settings.name, settings.meshAddress,
+             {[this](const Frame &frame) { received(frame); },
+              [this](const std::string &host) { sendClaims(host); }})
+    , m_runs(clock)
+    , m_suspension(SuspensionTolerance)
+{
+    sendAllRoom();
+}
+
+BatchHost::~BatchHost() = default;
+
+void BatchHost::updateExecutor(const ExecutorRegistration &registration)
+{
+    m_executors[registration.id] = registration;
+    m_view.update(registration);
+    m_holder.update(registration);
+    placeSoon();
+}
+
+void BatchHost::removeExecutor(const std::string &executor)
+{
+    m_executors.erase(executor);
+    m_view.remove(executor);
+    m_holder.remove(executor);
+}
+
+void BatchHost::setMembership(const HostMembership &membership)
+{
+    m_membership = membership;
+    m_mesh.setHosts(membership.hosts);
+    m_holder.assign(membership, m_settings.name);
+    sendClaims("");
+}
+
+std::string BatchHost::holderOfExecutor(std::size_t executor) const
+{
+    const auto found = m_executors.find(m_view.idOf(executor));
+    if (found == m_executors.end())
+        return {};
+    return holderOf(found->first, found->second.dataCentre, m_membership).value_or("");
+}
+
+std::optional<JobNumber> BatchHost::submit(BatchJob job, ResultHandler handler)
+{
+    checkSuspension();
+    const JobNumber number = ++m_lastJob;
+    if (const auto refusal = m_scheduler.submit(number, std::move(job))) {
+        handler({BatchEnd::Refused, refusal->cause, refusal->retryAfter, 0, {}});
+        return std::nullopt;
+    }
+    m_handlers.emplace(number, std::move(handler));
+    place();
+    return number;
+}
+
+void BatchHost::cancel(JobNumber job)
+{
+    m_scheduler.cancel(job);
+    placeSoon();
+}
+
+void BatchHost::startTask(const TaskStart &start)
+{
+    m_placed[start.run] = {start.executor, start.demand};
+    const std::string holder = holderOfExecutor(start.executor);
+    if (holder == m_settings.name) {
+        startHere(start);
+        return;
+    }
+    Frame *const frame = m_mesh.frameFor(holder);
+    if (!frame) {
+        m_timers.soon([this, run = start.run] {
+            m_scheduler.startRefused(run);
+            placeSoon();
+        });
+        return;
+    }
+    MeshStart message;
+    message.executor = m_view.idOf(start.executor);
+    setRun(message, start.run);
+    setResources(message, start.demand);
+    message.spec = specIndex(*frame, *start.spec);
+    append(frame->starts, std::move(message));
+}
+
+// The scheduler hears of the outcome only after it has returned from placing.
+void BatchHost::startHere(const TaskStart &start)
+{
+    const bool isAccepted =
+            m_holder.start(m_view.idOf(start.executor), start.run, start.demand, start.spec);
+    m_timers.soon([this, run = start.run, isAccepted] {
+        roomChanged();
+        if (isAccepted) {
+            m_scheduler.startAccepted(run);
+            return;
+        }
+        m_scheduler.startRefused(run);
+        placeSoon();
+    });
+}
+
+void BatchHost::stopTask(std::size_t executor, const RunId &run)
+{
+    const std::string holder = holderOfExecutor(executor);
+    const std::string &id = m_view.idOf(executor);
+    m_placed.erase(run);
+    if (holder == m_settings.name) {
+        m_holder.stop(id, run);
+        return;
+    }
+    Frame *const frame = m_mesh.frameFor(holder);
+    if (!frame)
+        return;
+    MeshRun message;
+    message.executor = id;
+    setRun(message, run);
+    append(frame->stops, std::move(message));
+}
+
+void BatchHost::jobEnded(JobNumber job, const BatchResult &result)
+{
+    const auto found = m_handlers.find(job);
+    if (found == m_handlers.end())
+        return;
+    const ResultHandler handler = std::move(found->second);
+    m_handlers.erase(found);
+    handler(result);
+}
+
+void BatchHost::runEnded(const RunEnd &end)
+{
+    const std::string owner = m_runs.ownerOf(end.run);
+    m_runs.ended(end);
+    if (!owner.empty()) {
+        sendEnd(owner, end);
+        return;
+    }
+    m_placed.erase(end.run);
+    m_scheduler.runEnded(end);
+    placeSoon();
+}
+
+void BatchHost::sendEnd(const std::string &host, const RunEnd &end)
+{
+    Frame *const frame = m_mesh.frameFor(host);
+    if (!frame)
+        return;
+    MeshEnd message;
+    setRun(message, end.run);
+    message.outcome = asWire(end.outcome);
+    if (end.ran)
+        message.ranUs = std::chrono::duration_cast<std::chrono::microseconds>(*end.ran).count();
+    append(frame->ends, std::move(message));
+}
+
+void BatchHost::roomChanged()
+{
+    for (const RoomReport &report : m_holder.takeChangedRoom()) {
+        m_view.report(report);
+        m_unsentRoom[report.executor] = report.room;
+    }
+    placeSoon();
+    if (m_unsentRoom.empty() || m_isRoomDue)
+        return;
+    m_isRoomDue = true;
+    m_timers.after(RoomInterval, [this] { sendRoom(); });
+}
+
+void BatchHost::sendRoom()
+{
+    m_isRoomDue = false;
+    for (const std::string &host : m_mesh.connectedHosts()) {
+        Frame *const frame = m_mesh.frameFor(host);
+        for (const auto &[executor, room] : m_unsentRoom)
+            addRoom(*frame, {executor, room});
+    }
+    m_unsentRoom.clear();
+}
+
+void BatchHost::sendAllRoom()
+{
+    checkSuspension();
+    for (const RoomReport &report : m_holder.room()) {
+        m_view.report(report);
+        m_unsentRoom[report.executor] = report.room;
+    }
+    sendRoom();
+    m_timers.after(AllRoomInterval, [this] { sendAllRoom(); });
+}
+
+void BatchHost::addRoom(Frame &frame, const RoomReport &report) const
+{
+    MeshRoom message;
+    message.executor = report.executor;
+    setResources(message, report.room);
+    append(frame.rooms, std::move(message));
+}
+
+void BatchHost::received(const Frame &frame)
+{
+    checkSuspension();
+    takeReplies(frame);
+    takeRoom(frame);
+    takeClaims(frame);
+    takeStops(frame);
+    takeStarts(frame);
+    placeSoon();
+}
+
+void BatchHost::takeReplies(const Frame &frame)
+{
+    for (const MeshReply &reply : frame.replies.value_or(std::vector<MeshReply>())) {
+        if (reply.accepted)
+            m_scheduler.startAccepted(runOf(reply));
+        else
+            m_scheduler.startRefused(runOf(reply));
+    }
+    for (const MeshEnd &message : frame.ends.value_or(std::vector<MeshEnd>())) {
+        RunEnd end{runOf(message), fromWire(message.outcome), std::nullopt};
+        if (message.ranUs)
+            end.ran = std::chrono::microseconds(*message.ranUs);
+        m_placed.erase(end.run);
+        m_scheduler.runEnded(end);
+    }
+}
+
+void BatchHost::takeStarts(const Frame &frame)
+{
+    for (const MeshStart &start : frame.starts.value_or(std::vector<MeshStart>())) {
+        const RunId run = runOf(start);
+        const auto index = static_cast<std::size_t>(start.spec);
+        const bool hasSpec = frame.specs && index < frame.specs->size();
+        const bool isAccepted =
+                hasSpec
+                && m_holder.start(start.executor, run, resourcesOf(start),
+                                  std::make_shared<const std::string>((*frame.specs)[index]));
+        if (isAccepted)
+            m_runs.setOwner(run, frame.host);
+        Frame *const answer = m_mesh.frameFor(frame.host);
+        if (!answer)
+            continue;
+        MeshReply reply;
+        setRun(reply, run);
+        reply.accepted = isAccepted;
+        append(answer->replies, std::move(reply));
+        // The room goes out with the reply, so that it never counts the run twice.
+        for (const RoomReport &report : m_holder.takeChangedRoom()) {
+            m_view.report(report);
+            m_unsentRoom[report.executor] = report.room;
+        }
+        const auto room = m_unsentRoom.find(start.executor);
+        if (room != m_unsentRoom.end())
+            addRoom(*answer, {room->first, room->second});
+    }
+}
+
+// The sender believes these runs to be here: it is told of those that are not.
+void BatchHost::takeClaims(const Frame &frame)
+{
+    for (const MeshClaim &message : frame.claims.value_or(std::vector<MeshClaim>())) {
+        const RunId run = runOf(message);
+        if (const auto end = m_runs.endOf(run)) {
+            sendEnd(frame.host, *end);
+            continue;
+        }
+        if (m_holder.adopt(message.executor, run, resourcesOf(message)))
+            m_runs.setOwner(run, frame.host);
+    }
+}
+
+void BatchHost::takeStops(const Frame &frame)
+{
+    for (const MeshRun &message : frame.stops.value_or(std::vector<MeshRun>()))
+        m_holder.stop(message.executor, runOf(message));
+}
+
+void BatchHost::takeRoom(const Frame &frame)
+{
+    for (const MeshRoom &message : frame.rooms.value_or(std::vector<MeshRoom>()))
+        m_view.report({message.executor, resourcesOf(message)});
+}
+
+/// Claims the runs of this host's jobs at \p host, or at all holders if it is empty.
+void BatchHost::sendClaims(const std::string &host)
+{
+    for (const auto &[run, placed] : m_placed) {
+        const std::string holder = holderOfExecutor(placed.executor);
+        if (host.empty() || holder == host)
+            claim(holder, run, placed);
+    }
+}
+
+void BatchHost::claim(const std::string &host, const RunId &run, const Placed &placed)
+{
+    const std::string &executor = m_view.idOf(placed.executor);
+    if (host == m_settings.name) {
+        (void)m_holder.adopt(executor, run, placed.demand);
+        return;
+    }
+    Frame *const frame = m_mesh.frameFor(host);
+    if (!frame)
+        return;
+    MeshClaim message;
+    message.executor = executor;
+    setRun(message, run);
+    setResources(message, placed.demand);
+    append(frame->claims, std::move(message));
+}
+
+void BatchHost::placeSoon()
+{
+    if (std::exchange(m_isPlacingDue, true))
+        return;
+    m_timers.soon([this] {
+        m_isPlacingDue = false;
+        place();
+    });
+}
+
+void BatchHost::place()
+{
+    m_scheduler.expire();
+    m_scheduler.place();
+    armExpiry();
+}
+
+void BatchHost::armExpiry()
+{
+    const auto next = m_scheduler.nextExpiry();
+    if (m_expiryTimer && next && m_expiryTimer->first == *next)
+        return;
+    if (m_expiryTimer)
+        m_timers.cancel(*m_expiryTimer);
+    m_expiryTimer.reset();
+    if (next)
+        m_expiryTimer = m_timers.at(*next, [this] {
+            m_expiryTimer.reset();
+            place();
+        });
+}
+
+void BatchHost::checkSuspension()
+{
+    if (!m_suspension.wasSuspended(m_clock.now(), sinceBoot()))
+        return;
+    LogEvent("host.resumed", LogEvent::Level::Warning).with("runs", m_holder.runs());
+    m_holder.doubtAll();
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/batchhost.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/executor/suspensiondetector.h"
+#include "anvilmill/scheduling/batchscheduler.h"
+#include "anvilmill/scheduling/roomview.h"
+#include "batch/holderservice.h"
+#include "batch/mesh.h"
+#include "batch/runbook.h"
+#include "loop/timerqueue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace anvilmill::daemon {
+
+/// \brief Settings of one host that dispatches batch jobs.
+struct BatchHostSettings
+{
+    std::string name;
+    std::string dataCentre;
+    boost::asio::ip::tcp::endpoint meshAddress;
+    HoldSettings hold;
+};
+
+/// \brief Dispatches batch jobs over the executors that all entry hosts share.
+///
+/// Jobs are scheduled by the host that took them in. Each executor is held by one host, which
+/// starts what the others ask for; hosts tell each other the room that they hold.
+///
+/// Thread safety: used by the loop's thread alone.
+class BatchHost : private BatchOutput
+{
+public:
+    using ResultHandler = std::function<void(const BatchResult &)>;
+
+    /// Precondition: the references outlive the host.
+    BatchHost(boost::asio::io_context &loop, TimerQueue &timers, const Clock &clock,
+              RandomSource &random, ExecutorCalls &calls, const BatchHostSettings &settings);
+    ~BatchHost() override;
+
+    void updateExecutor(const ExecutorRegistration &registration);
+    void removeExecutor(const std::string &executor);
+    void setMembership(const HostMembership &membership);
+
+    /// \brief Runs a job; \p handler is called once with its end, perhaps from within.
+    ///
+    /// Returns the number to cancel it by, or nothing if it was refused.
+    std::optional<JobNumber> submit(BatchJob job, ResultHandler handler);
+
+    /// \brief Ends the job as cancelled, for instance since its client has gone.
+    void cancel(JobNumber job);
+
+    [[nodiscard]] bool hasStarted(JobNumber job) const { return m_scheduler.hasStarted(job); }
+    [[nodiscard]] std::size_t waitingJobs(const std::string &route) const
+    {
+        return m_scheduler.waitingJobs(route);
+    }
+    [[nodiscard]] std::size_t jobs() const noexcept { return m_handlers.size(); }
+
+    /// \brief True if any executor is known to have room or to be about to.
+    [[nodiscard]] bool knowsExecutors() const noexcept { return m_view.listed() > 0; }
+
+    /// \brief Runs of other hosts that this one answers for.
+    [[nodiscard]] std::size_t heldRuns() const { return m_holder.runs(); }
+
+private:
+    struct Placed
+    {
+        std::size_t executor = 0;
+        Resources demand;
+    };
+    using Frame = wire::meshframe::MeshFrame;
+
+    void startTask(const TaskStart &start) override;
+    void stopTask(std::size_t executor, const RunId &run) override;
+    void jobEnded(JobNumber job, const BatchResult &result) override;
+
+    [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
+    void startHere(const TaskStart &start);
+    void runEnded(const RunEnd &end);
+    void roomChanged();
+    void sendRoom();
+    void sendAllRoom();
+    void addRoom(Frame &frame, const RoomReport &report) const;
+    void received(const Frame &frame);
+    void takeReplies(const Frame &frame);
+    void takeStarts(const Frame &frame);
+    void takeClaims(const Frame &frame);
+    void takeStops(const Frame &frame);
+    void takeRoom(const Frame &frame);
+    void sendEnd(const std::string &host, const RunEnd &end);
+    void sendClaims(const std::string &host);
+    void claim(const std::string &host, const RunId &run, const Placed &placed);
+    void placeSoon();
+    void place();
+    void checkSuspension();
+    void armExpiry();
+
+    TimerQueue &m_timers;
+    const Clock &m_clock;
+    BatchHostSettings m_settings;
+    RoomView m_view;
+    BatchScheduler m_scheduler;
+    HolderService m_holder;
+    Mesh m_mesh;
+    RunBook m_runs;
+    SuspensionDetector m_suspension;
+    HostMembership m_membership;
+    std::map<std::string, ExecutorRegistration> m_executors;
+    std::map<RunId, Placed> m_placed;
+    std::unordered_map<JobNumber, ResultHandler> m_handlers;
+    std::map<std::string, Resources> m_unsentRoom;
+    std::optional<TimerQueue::Id> m_expiryTimer;
+    JobNumber m_lastJob = 0;
+    bool m_isPlacingDue = false;
+    bool m_isRoomDue = false;
+};
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/batchjobs.cpp
@@ -0,0 +1,143 @@
+#include "batchjobs.h"
+
+#include "log.h"
+
+namespace anvilmill::daemon {
+
+namespace {
+
+/// About 100 bytes each: 10 MB at most.
+constexpr std::size_t MostEndsKept = 100000;
+
+std::optional<BatchState> stateAfter(BatchEnd end)
+{
+    switch (end) {
+    case BatchEnd::Completed:
+        return BatchState::Completed;
+    case BatchEnd::Failed:
+        return BatchState::Failed;
+    case BatchEnd::Cancelled:
+        return BatchState::Cancelled;
+    case BatchEnd::Refused:
+    case BatchEnd::Broken:
+        // The caller sends the job again: it isn't over.
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+BatchJobs::BatchJobs(BatchHost &host, const Clock &clock, Duration statusKept)
+    : m_host(host)
+    , m_clock(clock)
+    , m_statusKept(statusKept)
+{
+}
+
+BatchJobs::Waiter BatchJobs::submit(BatchJob job, ResultHandler handler)
+{
+    const Waiter waiter = ++m_lastWaiter;
+    const std::string id = job.id;
+    Active &active = m_active[id];
+    active.waiters.emplace(waiter, std::move(handler));
+    m_waiters.emplace(waiter, id);
+    if (active.waiters.size() > 1)
+        return waiter;
+    active.route = job.route->route;
+    active.service = job.route->service;
+    active.tasks = job.tasks.size();
+    active.arrived = job.arrived;
+    active.deadline = job.deadline;
+    const auto number = m_host.submit(std::move(job),
+                                      [this, id](const BatchResult &result) { ended(id, result); });
+    const auto found = m_active.find(id);
+    if (found != m_active.end())
+        found->second.number = number;
+    return waiter;
+}
+
+void BatchJobs::abandon(Waiter waiter)
+{
+    const auto found = m_waiters.find(waiter);
+    if (found == m_waiters.end())
+        return;
+    const std::string id = found->second;
+    m_waiters.erase(found);
+    const auto active = m_active.find(id);
+    if (active == m_active.end())
+        return;
+    active->second.waiters.erase(waiter);
+    if (active->second.waiters.empty())
+        (void)cancel(id);
+}
+
+bool BatchJobs::cancel(const std::string &id)
+{
+    const auto active = m_active.find(id);
+    if (active == m_active.end())
+        return m_ended.count(id) > 0;
+    if (active->second.number)
+        m_host.cancel(*active->second.number);
+    return true;
+}
+
+std::optional<BatchState> BatchJobs::stateOf(const std::string &id) const
+{
+    const auto active = m_active.find(id);
+    if (active != m_active.end()) {
+        const auto &number = active->second.number;
+        return number && m_host.hasStarted(*number) ? BatchState::Running : BatchState::Queued;
+    }
+    const auto ended = m_ended.find(id);
+    return ended == m_ended.end() ? std::nullopt : std::make_optional(ended->second);
+}
+
+void BatchJobs::ended(const std::string &id, const BatchResult &result)
+{
+    const auto found = m_active.find(id);
+    if (found == m_active.end())
+        return;
+    const Active job = std::move(found->second);
+    m_active.erase(found);
+    remember(id, result.end);
+    logEnd(id, job, result);
+    for (const auto &[waiter, handler] : job.waiters) {
+        m_waiters.erase(waiter);
+        handler(result);
+    }
+}
+
+void BatchJobs::logEnd(const std::string &id, const Active &job, const BatchResult &result) const
+{
+    const MonotonicTime now = m_clock.now();
+    LogEvent event("job.ended");
+    event.with("job", id)
+            .with("route", job.route)
+            .with("service", job.service)
+            .with("end", asString(result.end))
+            .with("tasks", job.tasks)
+            .with("runs", result.runs)
+            .with("waited", result.waited)
+            .with("took", now - job.arrived)
+            .with("left", job.deadline - now)
+            .with("active", m_active.size());
+    if (!result.cause.empty())
+        event.with("cause", result.cause).with("retryAfter", result.retryAfter);
+}
+
+void BatchJobs::remember(const std::string &id, BatchEnd end)
+{
+    const auto state = stateAfter(end);
+    if (!state)
+        return;
+    const MonotonicTime now = m_clock.now();
+    m_ended[id] = *state;
+    m_endOrder.emplace_back(now, id);
+    while (m_endOrder.front().first + m_statusKept < now || m_endOrder.size() > MostEndsKept) {
+        m_ended.erase(m_endOrder.front().second);
+        m_endOrder.pop_front();
+    }
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/batchjobs.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "batch/batchhost.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace anvilmill::daemon {
+
+/// \brief State of a batch job as its caller sees it.
+enum class BatchState { Queued, Running, Completed, Failed, Cancelled };
+
+/// \brief The jobs of one host by their callers' names: one job a name, whoever waits for it.
+///
+/// Thread safety: used by the loop's thread alone.
+class BatchJobs
+{
+public:
+    using Waiter = std::uint64_t;
+    using ResultHandler = BatchHost::ResultHandler;
+
+    /// Precondition: the references outlive the object. Ends are remembered for \p statusKept.
+    BatchJobs(BatchHost &host, const Clock &clock, Duration statusKept);
+
+    /// \brief Runs a job, or waits for the one of that name that runs already.
+    Waiter submit(BatchJob job, ResultHandler handler);
+
+    /// \brief The waiter's client has gone; a job that nobody waits for is cancelled.
+    void abandon(Waiter waiter);
+
+    /// \brief Cancels a job by name; false if it isn't known here.
+    bool cancel(const std::string &id);
+
+    [[nodiscard]] std::optional<BatchState> stateOf(const std::string &id) const;
+    [[nodiscard]] std::size_t active() const noexcept { return m_active.size(); }
+
+private:
+    struct Active
+    {
+        std::optional<JobNumber> number;
+        std::string route;
+        std::string service;
+        std::size_t tasks = 0;
+        MonotonicTime arrived;
+        MonotonicTime deadline;
+        std::map<Waiter, ResultHandler> waiters;
+    };
+
+    void ended(const std::string &id, const BatchResult &result);
+    void logEnd(const std::string &id, const Active &job, const BatchResult &result) const;
+    void remember(const std::string &id, BatchEnd end);
+
+    BatchHost &m_host;
+    const Clock &m_clock;
+    Duration m_statusKept;
+    std::map<std::string, Active> m_active;
+    std::map<Waiter, std::string> m_waiters;
+    std::map<std::string, BatchState> m_ended;
+    std::deque<std::pair<MonotonicTime, std::string>> m_endOrder;
+    Waiter m_lastWaiter = 0;
+};
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/holderservice.cpp
@@ -0,0 +1,311 @@
+#include "holderservice.h"
+
+#include "log.h"
+#include "loop/timerqueue.h"
+
+#include <algorithm>
+
+namespace anvilmill::daemon {
+
+namespace {
+
+/// Pause after a hold that was not answered; short of the lease, so that a lost call costs nothing.
+constexpr Duration HoldRetryPause = std::chrono::milliseconds(100);
+/// A stop takes at most 50 ms; one whose end is not listed by then was lost.
+constexpr Duration StopRetryPause = std::chrono::milliseconds(200);
+/// By then the lease has lapsed.
+constexpr int MostStopAttempts = 8;
+
+} // namespace
+
+struct HolderService::Entry
+{
+    Entry(const Clock &clock, const HoldSettings &settings,
+          const ExecutorRegistration &registration)
+        : executor(clock, settings, registration)
+    {
+    }
+
+    HeldExecutor executor;
+    /// Absent runs were ended by this host's own orders or never asked to stop.
+    std::set<RunId> stopping;
+    bool isHolding = false;
+    bool isGone = false;
+    bool isSilent = false;
+};
+
+HolderService::HolderService(const Clock &clock, TimerQueue &timers, ExecutorCalls &calls,
+                             const HoldSettings &settings, HolderEvents events)
+    : m_clock(clock)
+    , m_timers(timers)
+    , m_calls(calls)
+    , m_settings(settings)
+    , m_events(std::move(events))
+{
+}
+
+HolderService::~HolderService() = default;
+
+void HolderService::update(const ExecutorRegistration &registration)
+{
+    auto &entry = m_entries[registration.id];
+    if (!entry || entry->executor.registration().address != registration.address)
+        entry = std::make_shared<Entry>(m_clock, m_settings, registration);
+    entry->executor.update(registration);
+    assignOne(*entry, m_membership, m_self);
+    noteRoom(*entry);
+    hold(entry);
+}
+
+void HolderService::remove(const std::string &executor)
+{
+    const auto found = m_entries.find(executor);
+    if (found == m_entries.end())
+        return;
+    const auto entry = found->second;
+    entry->isGone = true;
+    m_entries.erase(found);
+    m_calls.forget(executor);
+}
+
+void HolderService::assign(const HostMembership &membership, const std::string &self)
+{
+    m_membership = membership;
+    m_self = self;
+    for (const auto &[id, entry] : m_entries) {
+        assignOne(*entry, membership, self);
+        hold(entry);
+    }
+}
+
+void HolderService::assignOne(Entry &entry, const HostMembership &membership,
+                              const std::string &self)
+{
+    const ExecutorRegistration &registration = entry.executor.registration();
+    const auto holder = holderOf(registration.id, registration.dataCentre, membership);
+    const bool isOurs = holder == self;
+    if (isOurs == entry.executor.isHeld())
+        return;
+    if (isOurs)
+        entry.executor.takeOver(membership.revision);
+    else
+        entry.executor.release();
+    LogEvent(isOurs ? "executor.takenOver" : "executor.released")
+            .with("executor", registration.id)
+            .with("membership", membership.revision)
+            .with("holder", holder.value_or("none"))
+            .with("fence", entry.executor.fence())
+            .with("runs", entry.executor.runs());
+    noteRoom(entry);
+}
+
+void HolderService::hold(const std::shared_ptr<Entry> &entry)
+{
+    if (entry->isHolding || entry->isGone || !entry->executor.isHeld())
+        return;
+    entry->isHolding = true;
+    const HoldOrder order = entry->executor.nextHold();
+    m_calls.hold(entry->executor.registration(), order,
+                 [this, entry, order](const HoldReply &reply) {
+                     entry->isHolding = false;
+                     if (!entry->isGone)
+                         holdAnswered(entry, order, reply);
+                 });
+}
+
+void HolderService::holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
+                                 const HoldReply &reply)
+{
+    HeldExecutor &executor = entry->executor;
+    switch (reply.kind) {
+    case HoldReply::Kind::Answered:
+        if (entry->isSilent)
+            LogEvent("executor.regained").with("executor", executor.registration().id);
+        entry->isSilent = false;
+        emit(executor.holdAnswered(order, reply.report));
+        stopOrphans(entry);
+        holdAgain(entry, {});
+        break;
+    case HoldReply::Kind::Fenced:
+        if (executor.holdFenced(order))
+            LogEvent("executor.fenced", LogEvent::Level::Warning)
+                    .with("executor", executor.registration().id)
+                    .with("fence", order.fence)
+                    .with("membership", m_membership.revision);
+        holdAgain(entry, HoldRetryPause);
+        break;
+    case HoldReply::Kind::Unanswered:
+        if (!entry->isSilent)
+            LogEvent("executor.silent", LogEvent::Level::Warning)
+                    .with("executor", executor.registration().id)
+                    .with("reason", reply.reason)
+                    .with("runs", executor.runs());
+        entry->isSilent = true;
+        emit(executor.holdUnanswered());
+        holdAgain(entry, HoldRetryPause);
+        break;
+    }
+    noteRoom(*entry);
+}
+
+void HolderService::holdAgain(const std::shared_ptr<Entry> &entry, Duration delay)
+{
+    if (delay == Duration{}) {
+        hold(entry);
+        return;
+    }
+    m_timers.after(delay, [this, entry] { hold(entry); });
+}
+
+bool HolderService::start(const std::string &executor, const RunId &run, const Resources &demand,
+                          std::shared_ptr<const std::string> spec)
+{
+    const auto found = m_entries.find(executor);
+    if (found == m_entries.end())
+        return false;
+    const auto entry = found->second;
+    const auto order = entry->executor.start(run, demand);
+    if (!order)
+        return false;
+    noteRoom(*entry);
+    m_calls.start(entry->executor.registration(), *order, *spec,
+                  [this, entry, order = *order](const StartReply &reply) {
+                      if (!entry->isGone)
+                          startAnswered(entry, order, reply);
+                  });
+    return true;
+}
+
+void HolderService::startAnswered(const std::shared_ptr<Entry> &entry, const StartOrder &order,
+                                  const StartReply &reply)
+{
+    HeldExecutor &executor = entry->executor;
+    if (!reply) {
+        executor.startUnanswered(order);
+        LogEvent("run.startUnanswered", LogEvent::Level::Warning)
+                .with("task", order.run.task)
+                .with("run", order.run.number)
+                .with("executor", executor.registration().id)
+                .with("fence", executor.fence());
+        return;
+    }
+    const auto end = executor.startAnswered(order, *reply);
+    if (!end)
+        return;
+    noteRoom(*entry);
+    LogEvent("run.startRefused", LogEvent::Level::Warning)
+            .with("task", order.run.task)
+            .with("run", order.run.number)
+            .with("executor", executor.registration().id)
+            .with("fence", order.fence)
+            .with("outcome", asString(end->outcome));
+    emit({*end});
+}
+
+bool HolderService::adopt(const std::string &executor, const RunId &run, const Resources &demand)
+{
+    const auto found = m_entries.find(executor);
+    if (found == m_entries.end() || !found->second->executor.isHeld())
+        return false;
+    found->second->executor.adopt(run, demand);
+    noteRoom(*found->second);
+    return true;
+}
+
+void HolderService::stop(const std::string &executor, const RunId &run)
+{
+    const auto found = m_entries.find(executor);
+    if (found != m_entries.end() && found->second->stopping.insert(run).second)
+        sendStop(found->second, run, 0);
+}
+
+void HolderService::sendStop(const std::shared_ptr<Entry> &entry, const RunId &run, int attempt)
+{
+    const auto order = entry->executor.stop(run);
+    if (!order || attempt >= MostStopAttempts || entry->isGone) {
+        entry->stopping.erase(run);
+        return;
+    }
+    m_calls.stop(entry->executor.registration(), *order, [](bool) {});
+    m_timers.after(StopRetryPause,
+                   [this, entry, run, attempt] { sendStop(entry, run, attempt + 1); });
+}
+
+void HolderService::stopOrphans(const std::shared_ptr<Entry> &entry)
+{
+    for (const RunId &run : entry->executor.orphans()) {
+        if (!entry->stopping.insert(run).second)
+            continue;
+        LogEvent("run.orphan")
+                .with("task", run.task)
+                .with("run", run.number)
+                .with("executor", entry->executor.registration().id)
+                .with("fence", entry->executor.fence());
+        sendStop(entry, run, 0);
+    }
+}
+
+void HolderService::doubtAll()
+{
+    for (const auto &[id, entry] : m_entries) {
+        entry->executor.doubt();
+        noteRoom(*entry);
+    }
+}
+
+std::vector<RoomReport> HolderService::room() const
+{
+    std::vector<RoomReport> reports;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry->executor.isHeld())
+            reports.push_back({id, entry->executor.room()});
+    }
+    return reports;
+}
+
+void HolderService::noteRoom(const Entry &entry)
+{
+    m_changed.insert(entry.executor.registration().id);
+    if (m_isChangeAnnounced)
+        return;
+    m_isChangeAnnounced = true;
+    m_timers.soon([this] {
+        m_isChangeAnnounced = false;
+        m_events.roomChanged();
+    });
+}
+
+std::vector<RoomReport> HolderService::takeChangedRoom()
+{
+    std::vector<RoomReport> reports;
+    for (const std::string &id : m_changed) {
+        const auto found = m_entries.find(id);
+        if (found != m_entries.end() && found->second->executor.isHeld())
+            reports.push_back({id, found->second->executor.room()});
+    }
+    m_changed.clear();
+    return reports;
+}
+
+void HolderService::emit(const std::vector<RunEnd> &ends)
+{
+    for (const RunEnd &end : ends)
+        m_events.runEnded(end);
+}
+
+std::size_t HolderService::held() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(),
+                          [](const auto &entry) { return entry.second->executor.isHeld(); }));
+}
+
+std::size_t HolderService::runs() const
+{
+    std::size_t runs = 0;
+    for (const auto &[id, entry] : m_entries)
+        runs += entry->executor.runs();
+    return runs;
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/holderservice.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/executor/executorcalls.h"
+#include "anvilmill/executor/heldexecutor.h"
+#include "anvilmill/executor/holderassignment.h"
+#include "anvilmill/scheduling/roomview.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvilmill::daemon {
+
+class TimerQueue;
+
+/// \brief What a holder service tells its owner; called from the loop, never from within a call.
+struct HolderEvents
+{
+    /// A run that was accepted or adopted, or that an earlier holder started, has ended.
+    std::function<void(const RunEnd &)> runEnded;
+    /// Room of executors may have changed; see takeChangedRoom().
+    std::function<void()> roomChanged;
+};
+
+/// \brief Holds executors for all entry hosts: keeps their leases, sends their orders.
+///
+/// Thread safety: used by the loop's thread alone.
+class HolderService
+{
+public:
+    /// Precondition: the references outlive the service.
+    HolderService(const Clock &clock, TimerQueue &timers, ExecutorCalls &calls,
+                  const HoldSettings &settings, HolderEvents events);
+    ~HolderService();
+
+    /// \brief An executor is listed, or what it says of itself has changed.
+    void update(const ExecutorRegistration &registration);
+
+    /// \brief An executor is gone; its runs are lost.
+    void remove(const std::string &executor);
+
+    /// \brief Takes over and lets go of executors as \p membership says for host \p self.
+    void assign(const HostMembership &membership, const std::string &self);
+
+    /// \brief Starts a run on a held executor; false if there is no room or it isn't held here.
+    [[nodiscard]] bool start(const std::string &executor, const RunId &run, const Resources &demand,
+                             std::shared_ptr<const std::string> spec);
+
+    /// \brief Answers from now on for a run that an earlier holder started; false if not held here.
+    [[nodiscard]] bool adopt(const std::string &executor, const RunId &run,
+                             const Resources &demand);
+
+    /// \brief Stops a run, again until it has ended.
+    void stop(const std::string &executor, const RunId &run);
+
+    /// \brief Call after this process was suspended.
+    void doubtAll();
+
+    /// \brief Room of all executors held here.
+    [[nodiscard]] std::vector<RoomReport> room() const;
+
+    /// \brief Room of the executors held here that changed since the last call.
+    [[nodiscard]] std::vector<RoomReport> takeChangedRoom();
+
+    [[nodiscard]] std::size_t held() const;
+    [[nodiscard]] std::size_t runs() const;
+
+private:
+    struct Entry;
+
+    void assignOne(Entry &entry, const HostMembership &membership, const std::string &self);
+    void hold(const std::shared_ptr<Entry> &entry);
+    void holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
+                      const HoldReply &reply);
+    void holdAgain(const std::shared_ptr<Entry> &entry, Duration delay);
+    void startAnswered(const std::shared_ptr<Entry> &entry, const StartOrder &order,
+                       const StartReply &reply);
+    void sendStop(const std::shared_ptr<Entry> &entry, const RunId &run, int attempt);
+    void stopOrphans(const std::shared_ptr<Entry> &entry);
+    void noteRoom(const Entry &entry);
+    void emit(const std::vector<RunEnd> &ends);
+
+    const Clock &m_clock;
+    TimerQueue &m_timers;
+    ExecutorCalls &m_calls;
+    HoldSettings m_settings;
+    HolderEvents m_events;
+    std::map<std::string, std::shared_ptr<Entry>> m_entries;
+    HostMembership m_membership;
+    std::string m_self;
+    std::set<std::string> m_changed;
+    bool m_isChangeAnnounced = false;
+};
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/hostregistry.cpp
@@ -0,0 +1,168 @@
+#include "hostregistry.h"
+
+#include "log.h"
+#include "loop/timerqueue.h"
+
+#include "anvilmill/randomsource.h"
+
+#include <hostentry.h>
+
+namespace anvilmill::daemon {
+
+namespace {
+
+std::string encoded(const ListedHost &host, std::uint64_t incarnation)
+{
+    wire::hostentry::HostEntry entry;
+    entry.dataCentre = host.dataCentre;
+    entry.peerAddress = host.peerAddress;
+    entry.incarnation = static_cast<std::int64_t>(incarnation);
+    entry.isLeaving = host.isLeaving;
+    nlohmann::json document;
+    wire::hostentry::to_json(document, entry);
+    return document.dump();
+}
+
+std::optional<ListedHost> decoded(const std::string &name, const std::string &value)
+{
+    try {
+        wire::hostentry::HostEntry entry;
+        wire::hostentry::from_json(nlohmann::json::parse(value), entry);
+        return ListedHost{name, entry.dataCentre, entry.peerAddress, entry.isLeaving};
+    } catch (const nlohmann::json::exception &exception) {
+        LogEvent("host.entryUnreadable", LogEvent::Level::Warning)
+                .with("host", name)
+                .with("reason", exception.what());
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+HostRegistry::HostRegistry(AsyncStore &store, TimerQueue &timers, const Clock &clock,
+                           RandomSource &random, const RegistrySettings &settings, ListedHost self,
+                           std::uint64_t incarnation, MembershipHandler handler)
+    : m_store(store)
+    , m_timers(timers)
+    , m_random(random)
+    , m_settings(settings)
+    , m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_handler(std::move(handler))
+    , m_listing(clock, settings.settleDelay)
+    , m_follower(store, timers, random, settings.prefix, {},
+                 [this](const std::vector<StoreItem> &) { entriesChanged(); })
+{
+}
+
+void HostRegistry::start()
+{
+    m_follower.start();
+    takeLease();
+}
+
+void HostRegistry::takeLease()
+{
+    if (m_hasLeft)
+        return;
+    m_store.grantLease(m_settings.lease, [this](const StoreCommit &answer) {
+        if (answer.outcome != CallOutcome::Done) {
+            retry(&HostRegistry::takeLease);
+            return;
+        }
+        m_lease = answer.lease;
+        writeEntry();
+    });
+}
+
+void HostRegistry::writeEntry()
+{
+    if (m_hasLeft)
+        return;
+    const std::string key = m_settings.prefix + m_self.name;
+    m_store.commit({{}, {{key, encoded(m_self, m_incarnation), m_lease}}, {}},
+                   [this](const StoreCommit &answer) {
+                       if (answer.outcome == CallOutcome::NoLease)
+                           retry(&HostRegistry::takeLease);
+                       else if (answer.outcome != CallOutcome::Done)
+                           retry(&HostRegistry::writeEntry);
+                       else
+                           later(&HostRegistry::renew, m_settings.renewal);
+                   });
+}
+
+void HostRegistry::renew()
+{
+    if (m_hasLeft)
+        return;
+    // A lost removal or an entry of an earlier incarnation shows in the mirror.
+    const auto &items = m_follower.mirror().items();
+    const auto own = items.find(m_settings.prefix + m_self.name);
+    if (m_follower.isCurrent()
+        && (own == items.end() || own->second.value != encoded(m_self, m_incarnation))) {
+        writeEntry();
+        return;
+    }
+    m_store.renewLease(m_lease, [this](const StoreCommit &answer) { renewed(answer); });
+}
+
+void HostRegistry::renewed(const StoreCommit &answer)
+{
+    if (answer.outcome == CallOutcome::NoLease) {
+        LogEvent("host.leaseLapsed", LogEvent::Level::Warning).with("lease", m_lease);
+        takeLease();
+    } else if (answer.outcome == CallOutcome::Done) {
+        later(&HostRegistry::renew, m_settings.renewal);
+    } else {
+        retry(&HostRegistry::renew);
+    }
+}
+
+void HostRegistry::retry(void (HostRegistry::*step)())
+{
+    later(step,
+          std::chrono::duration_cast<Duration>(m_settings.retry * (0.5 + m_random.nextUnit())));
+}
+
+void HostRegistry::later(void (HostRegistry::*step)(), Duration delay)
+{
+    m_timers.after(delay, [this, step] { (this->*step)(); });
+}
+
+void HostRegistry::entriesChanged()
+{
+    HostMembership membership;
+    membership.revision = m_follower.mirror().revision();
+    for (const auto &[key, item] : m_follower.mirror().items()) {
+        if (auto host = decoded(key.substr(m_settings.prefix.size()), item.value))
+            membership.hosts.push_back(std::move(*host));
+    }
+    m_listing.listed(std::move(membership));
+    adoptDue();
+}
+
+void HostRegistry::adoptDue()
+{
+    if (const auto membership = m_listing.takeDue()) {
+        LogEvent("hosts.adopted")
+                .with("membership", membership->revision)
+                .with("hosts", membership->hosts.size());
+        m_handler(*membership);
+    } else if (const auto due = m_listing.nextDue()) {
+        m_timers.at(*due, [this] { adoptDue(); });
+    }
+}
+
+void HostRegistry::announceLeave()
+{
+    m_self.isLeaving = true;
+    writeEntry();
+}
+
+void HostRegistry::leave(std::function<void()> done)
+{
+    m_hasLeft = true;
+    m_store.endLease(m_lease, [done = std::move(done)](const StoreCommit &) { done(); });
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/hostregistry.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/executor/hostlisting.h"
+#include "anvilmill/platform/asyncstore.h"
+#include "loop/prefixfollower.h"
+
+#include <functional>
+#include <string>
+
+namespace anvilmill {
+class RandomSource;
+} // namespace anvilmill
+
+namespace anvilmill::daemon {
+
+class TimerQueue;
+
+/// \brief How a host keeps its entry in the store.
+struct RegistrySettings
+{
+    /// Prefix of the entries of all hosts.
+    std::string prefix = "anvilmill/hosts/";
+    /// A host that died is missing after this long. Three renewals may fail in a row.
+    Duration lease = std::chrono::seconds(3);
+    Duration renewal = std::chrono::milliseconds(800);
+    Duration retry = std::chrono::milliseconds(400);
+    /// Entries that lapsed with the store are written again within a second of its return.
+    Duration settleDelay = std::chrono::milliseconds(1500);
+};
+
+/// \brief Lists this host in the platform's store and follows which hosts are listed.
+///
+/// Thread safety: used by the loop's thread alone.
+class HostRegistry
+{
+public:
+    using MembershipHandler = std::function<void(const HostMembership &)>;
+
+    /// Precondition: the references outlive the registry.
+    HostRegistry(AsyncStore &store, TimerQueue &timers, const Clock &clock, RandomSource &random,
+                 const RegistrySettings &settings, ListedHost self, std::uint64_t incarnation,
+                 MembershipHandler handler);
+
+    void start();
+
+    /// \brief Announces that this host leaves: others take over its executors.
+    void announceLeave();
+
+    /// \brief Removes this host's entry; \p done is called once the store has answered.
+    void leave(std::function<void()> done);
+
+    [[nodiscard]] const HostMembership &membership() const noexcept { return m_listing.adopted(); }
+
+private:
+    void takeLease();
+    void writeEntry();
+    void renew();
+    void renewed(const StoreCommit &answer);
+    void retry(void (HostRegistry::*step)());
+    void later(void (HostRegistry::*step)(), Duration delay);
+    void entriesChanged();
+    void adoptDue();
+
+    AsyncStore &m_store;
+    TimerQueue &m_timers;
+    RandomSource &m_random;
+    RegistrySettings m_settings;
+    ListedHost m_self;
+    std::uint64_t m_incarnation;
+    MembershipHandler m_handler;
+    HostListing m_listing;
+    PrefixFollower m_follower;
+    LeaseId m_lease = 0;
+    bool m_hasLeft = false;
+};
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/mesh.cpp
@@ -0,0 +1,410 @@
+#include "mesh.h"
+
+#include "log.h"
+#include "loop/httpclient.h"
+#include "loop/socketoptions.h"
+#include "loop/timerqueue.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/websocket.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+namespace anvilmill::daemon {
+
+namespace websocket = boost::beast::websocket;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using wire::meshframe::MeshFrame;
+using Socket = websocket::stream<tcp::socket, false>;
+
+namespace {
+
+constexpr Duration FirstRedial = std::chrono::milliseconds(20);
+constexpr Duration LongestRedial = std::chrono::milliseconds(400);
+/// Two round trips for the handshake, and the start of a busy host's turn.
+constexpr Duration DialTimeout = std::chrono::milliseconds(500);
+/// A frame holds the messages of one turn: a hundred starts of 4,000 bytes, with headroom.
+constexpr std::size_t LargestFrame = 4U << 20U;
+/// Frames that wait for a slow connection; each holds at least one turn's messages.
+constexpr std::size_t LongestQueue = 2000;
+/// Room reports come every 250 ms: a host that sends nothing for this long is taken as cut off.
+constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
+
+std::vector<std::uint8_t> encoded(const MeshFrame &frame)
+{
+    nlohmann::json document;
+    wire::meshframe::to_json(document, frame);
+    return nlohmann::json::to_cbor(document);
+}
+
+} // namespace
+
+struct Mesh::State
+{
+    boost::asio::io_context &loop;
+    TimerQueue &timers;
+    std::string self;
+    tcp::acceptor acceptor;
+    MeshEvents events;
+    std::map<std::string, std::shared_ptr<Link>> links;
+    std::set<std::shared_ptr<Inbound>> inbound;
+    bool isClosed = false;
+};
+
+/// The connection that carries frames to one host; dialled again while the host is listed.
+class Mesh::Link : public std::enable_shared_from_this<Link>
+{
+public:
+    Link(std::shared_ptr<State> state, std::string host, tcp::endpoint address)
+        : m_state(std::move(state))
+        , m_host(std::move(host))
+        , m_address(std::move(address))
+    {
+        m_frame.host = m_state->self;
+    }
+
+    [[nodiscard]] const tcp::endpoint &address() const noexcept { return m_address; }
+    [[nodiscard]] bool isConnected() const noexcept { return m_isConnected; }
+
+    void dial()
+    {
+        if (m_isEnded || m_state->isClosed)
+            return;
+        m_socket = std::make_shared<Socket>(m_state->loop);
+        m_dialTimer = m_state->timers.after(DialTimeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->broken("no handshake in time");
+        });
+        m_socket->next_layer().async_connect(
+                m_address, [self = shared_from_this(), socket = m_socket](error_code error) {
+                    if (self->isCurrent(socket))
+                        self->connected(error);
+                });
+    }
+
+    void end()
+    {
+        m_isEnded = true;
+        m_isConnected = false;
+        m_state->timers.cancel(m_dialTimer);
+        closeSocket();
+    }
+
+    MeshFrame *frame()
+    {
+        if (!m_isConnected)
+            return nullptr;
+        if (!m_isFlushDue) {
+            m_isFlushDue = true;
+            m_state->timers.soon([self = shared_from_this()] { self->flush(); });
+        }
+        return &m_frame;
+    }
+
+private:
+    [[nodiscard]] bool isCurrent(const std::shared_ptr<Socket> &socket) const
+    {
+        return !m_isEnded && socket == m_socket;
+    }
+
+    void connected(error_code error)
+    {
+        if (error) {
+            broken(error.message());
+            return;
+        }
+        setPromptDelivery(m_socket->next_layer());
+        m_socket->async_handshake(
+                m_address.address().to_string(), "/",
+                [self = shared_from_this(), socket = m_socket](error_code result) {
+                    if (!self->isCurrent(socket))
+                        return;
+                    if (result)
+                        self->broken(result.message());
+                    else
+                        self->opened();
+                });
+    }
+
+    void opened()
+    {
+        m_state->timers.cancel(m_dialTimer);
+        m_socket->binary(true);
+        m_isConnected = true;
+        m_redial = FirstRedial;
+        LogEvent("peer.connected").with("host", m_host);
+        awaitClose();
+        m_state->events.connected(m_host);
+    }
+
+    // Nothing is sent on this connection by the other side; a read sees it close.
+    void awaitClose()
+    {
+        m_socket->async_read(m_ignored, [self = shared_from_this(),
+                                         socket = m_socket](error_code error, std::size_t) {
+            if (self->isCurrent(socket))
+                self->broken(error ? error.message() : "unexpected frame");
+        });
+    }
+
+    void flush()
+    {
+        m_isFlushDue = false;
+        MeshFrame frame;
+        frame.host = m_state->self;
+        std::swap(frame, m_frame);
+        if (!m_isConnected)
+            return;
+        m_queue.push_back(encoded(frame));
+        if (m_queue.size() > LongestQueue)
+            broken("connection too slow");
+        else if (!m_isWriting)
+            write();
+    }
+
+    void write()
+    {
+        m_isWriting = true;
+        m_socket->async_write(
+                boost::asio::buffer(m_queue.front()),
+                [self = shared_from_this(), socket = m_socket](error_code error, std::size_t) {
+                    if (self->isCurrent(socket))
+                        self->written(error);
+                });
+    }
+
+    void written(error_code error)
+    {
+        if (error) {
+            broken(error.message());
+            return;
+        }
+        m_queue.pop_front();
+        if (m_queue.empty())
+            m_isWriting = false;
+        else
+            write();
+    }
+
+    void broken(const std::string &reason)
+    {
+        if (m_isConnected)
+            LogEvent("peer.lost", LogEvent::Level::Warning)
+                    .with("host", m_host)
+                    .with("reason", reason)
+                    .with("queued", m_queue.size());
+        m_state->timers.cancel(m_dialTimer);
+        m_isConnected = false;
+        m_isWriting = false;
+        // Pending operations keep the socket, and its buffers here, until they are aborted.
+        m_dropped = std::move(m_queue);
+        m_queue.clear();
+        m_frame = {};
+        m_frame.host = m_state->self;
+        closeSocket();
+        m_state->timers.after(m_redial, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->dial();
+        });
+        m_redial = std::min(m_redial * 2, LongestRedial);
+    }
+
+    void closeSocket()
+    {
+        if (!m_socket)
+            return;
+        error_code ignored;
+        m_socket->next_layer().close(ignored);
+        m_socket.reset();
+    }
+
+    std::shared_ptr<State> m_state;
+    std::string m_host;
+    tcp::endpoint m_address;
+    std::shared_ptr<Socket> m_socket;
+    boost::beast::flat_buffer m_ignored;
+    std::deque<std::vector<std::uint8_t>> m_queue;
+    std::deque<std::vector<std::uint8_t>> m_dropped;
+    MeshFrame m_frame;
+    Duration m_redial = FirstRedial;
+    TimerQueue::Id m_dialTimer;
+    bool m_isConnected = false;
+    bool m_isWriting = false;
+    bool m_isFlushDue = false;
+    bool m_isEnded = false;
+};
+
+/// A connection that another host made; frames come in here.
+class Mesh::Inbound : public std::enable_shared_from_this<Inbound>
+{
+public:
+    Inbound(std::shared_ptr<State> state, tcp::socket socket)
+        : m_state(std::move(state))
+        , m_socket(std::move(socket))
+    {
+        m_socket.read_message_max(LargestFrame);
+    }
+
+    void open()
+    {
+        limitSilence();
+        m_socket.async_accept([self = shared_from_this()](error_code error) {
+            if (error)
+                self->close();
+            else
+                self->read();
+        });
+    }
+
+    void close()
+    {
+        if (m_isClosed)
+            return;
+        m_isClosed = true;
+        m_state->timers.cancel(m_silence);
+        error_code ignored;
+        m_socket.next_layer().close(ignored);
+        m_state->inbound.erase(shared_from_this());
+    }
+
+private:
+    void limitSilence()
+    {
+        m_state->timers.cancel(m_silence);
+        m_silence = m_state->timers.after(SilenceLimit, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->close();
+        });
+    }
+
+    void read()
+    {
+        m_socket.async_read(m_buffer, [self = shared_from_this()](error_code error, std::size_t) {
+            if (error || self->m_isClosed) {
+                self->close();
+                return;
+            }
+            self->received();
+        });
+    }
+
+    void received()
+    {
+        limitSilence();
+        const auto *const data = static_cast<const std::uint8_t *>(m_buffer.cdata().data());
+        try {
+            const auto document = nlohmann::json::from_cbor(data, data + m_buffer.size());
+            MeshFrame frame;
+            wire::meshframe::from_json(document, frame);
+            if (!std::exchange(m_isNamed, true))
+                m_state->events.connected(frame.host);
+            m_state->events.received(frame);
+        } catch (const nlohmann::json::exception &exception) {
+            LogEvent("peer.frameUnreadable", LogEvent::Level::Warning)
+                    .with("reason", exception.what())
+                    .with("bytes", m_buffer.size());
+            close();
+            return;
+        }
+        m_buffer.consume(m_buffer.size());
+        if (!m_isClosed)
+            read();
+    }
+
+    std::shared_ptr<State> m_state;
+    Socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    TimerQueue::Id m_silence;
+    bool m_isNamed = false;
+    bool m_isClosed = false;
+};
+
+Mesh::Mesh(boost::asio::io_context &loop, TimerQueue &timers, std::string self,
+           const tcp::endpoint &address, MeshEvents events)
+    : m_state(std::make_shared<State>(State{loop,
+                                            timers,
+                                            std::move(self),
+                                            tcp::acceptor(loop),
+                                            std::move(events),
+                                            {},
+                                            {},
+                                            false}))
+{
+    m_state->acceptor.open(address.protocol());
+    m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_state->acceptor.bind(address);
+    m_state->acceptor.listen();
+    accept(m_state);
+}
+
+Mesh::~Mesh()
+{
+    m_state->isClosed = true;
+    error_code ignored;
+    m_state->acceptor.close(ignored);
+    for (const auto &[host, link] : m_state->links)
+        link->end();
+    m_state->links.clear();
+    const auto inbound = m_state->inbound;
+    for (const auto &connection : inbound)
+        connection->close();
+}
+
+void Mesh::accept(const std::shared_ptr<State> &state)
+{
+    state->acceptor.async_accept([state](error_code error, tcp::socket socket) {
+        if (state->isClosed || error == boost::asio::error::operation_aborted)
+            return;
+        if (!error) {
+            const auto inbound = std::make_shared<Inbound>(state, std::move(socket));
+            state->inbound.insert(inbound);
+            inbound->open();
+        }
+        state->timers.after(error ? LongestRedial : Duration{}, [state] { accept(state); });
+    });
+}
+
+void Mesh::setHosts(const std::vector<ListedHost> &hosts)
+{
+    std::map<std::string, std::shared_ptr<Link>> kept;
+    for (const ListedHost &host : hosts) {
+        const auto address = parseEndpoint(host.peerAddress);
+        if (host.name == m_state->self || !address)
+            continue;
+        auto &link = m_state->links[host.name];
+        if (link && link->address() != *address)
+            link->end();
+        if (!link || link->address() != *address) {
+            link = std::make_shared<Link>(m_state, host.name, *address);
+            link->dial();
+        }
+        kept[host.name] = link;
+        m_state->links.erase(host.name);
+    }
+    for (const auto &[name, link] : m_state->links) {
+        if (link)
+            link->end();
+    }
+    m_state->links = std::move(kept);
+}
+
+MeshFrame *Mesh::frameFor(const std::string &host)
+{
+    const auto found = m_state->links.find(host);
+    return found == m_state->links.end() ? nullptr : found->second->frame();
+}
+
+std::vector<std::string> Mesh::connectedHosts() const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[name, link] : m_state->links) {
+        if (link->isConnected())
+            hosts.push_back(name);
+    }
+    return hosts;
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/mesh.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/executor/holderassignment.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <meshframe.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace anvilmill::daemon {
+
+class TimerQueue;
+
+/// \brief What a mesh tells its owner, from the loop's thread.
+struct MeshEvents
+{
+    std::function<void(const wire::meshframe::MeshFrame &)> received;
+    /// A connection to or from the host was made anew: messages may have been lost before.
+    std::function<void(const std::string &host)> connected;
+};
+
+/// \brief Connections between entry hosts: CBOR frames over web sockets, one each way per pair.
+///
+/// What is queued for a host in one turn of the loop goes out as one frame. Frames arrive in
+/// order while a connection lasts; a connection that breaks loses what was under way.
+///
+/// Thread safety: used by the loop's thread alone.
+class Mesh
+{
+public:
+    /// \brief Listens at once; throws boost::system::system_error if it can't.
+    ///
+    /// Precondition: \p loop and \p timers outlive the mesh.
+    Mesh(boost::asio::io_context &loop, TimerQueue &timers, std::string self,
+         const boost::asio::ip::tcp::endpoint &address, MeshEvents events);
+    ~Mesh();
+    Mesh(const Mesh &) = delete;
+    Mesh &operator=(const Mesh &) = delete;
+
+    /// \brief Keeps connections to exactly these hosts, itself left out.
+    void setHosts(const std::vector<ListedHost> &hosts);
+
+    /// \brief The frame that will go to \p host after this turn; nullptr if it isn't connected.
+    [[nodiscard]] wire::meshframe::MeshFrame *frameFor(const std::string &host);
+
+    /// \brief The hosts that frames can be sent to.
+    [[nodiscard]] std::vector<std::string> connectedHosts() const;
+
+private:
+    class Link;
+    class Inbound;
+    struct State;
+
+    static void accept(const std::shared_ptr<State> &state);
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/runbook.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/executor/run.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace anvilmill::daemon {
+
+/// \brief Who asked a holder for its runs, and how runs ended that may be asked for again.
+///
+/// An end whose message was lost with a connection is told again when its host claims the run.
+///
+/// Thread safety: one thread at a time.
+class RunBook
+{
+public:
+    /// Precondition: \p clock outlives the book.
+    explicit RunBook(const Clock &clock);
+
+    void setOwner(const RunId &run, const std::string &host);
+
+    /// \brief The host that asked for the run; empty if none did.
+    [[nodiscard]] std::string ownerOf(const RunId &run) const;
+
+    /// \brief Records an end and forgets old ones.
+    void ended(const RunEnd &end);
+
+    [[nodiscard]] std::optional<RunEnd> endOf(const RunId &run) const;
+
+private:
+    const Clock &m_clock;
+    std::map<RunId, std::string> m_owners;
+    std::map<RunId, RunEnd> m_ends;
+    std::deque<std::pair<MonotonicTime, RunId>> m_order;
+};
+
+} // namespace anvilmill::daemon
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -1,5 +1,6 @@
 #include "log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Lines that wait for the writer: a second's worth at the crest, below a megabyte.
+constexpr int LongestLogQueue = 4096;
+
 const log4cxx::LoggerPtr &logger()
 {
     static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("anvilmill");
@@ -82,13 +86,23 @@
     return with(std::string(key) + "Us", micros);
 }
 
-void configureLog(LogEvent::Level level)
+void configureLog(LogEvent::Level level, LogTarget target)
 {
+    const bool isOutput = target == LogTarget::StandardOutput;
     auto layout = std::make_shared<log4cxx::PatternLayout>(
             "time=%d{yyyy-MM-dd}{UTC}T%d{HH:mm:ss.SSS}{UTC}Z level=%p %m%n");
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-            layout, log4cxx::ConsoleAppender::getSystemErr());
-    log4cxx::BasicConfigurator::configure(appender);
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(
+            layout, isOutput ? log4cxx::ConsoleAppender::getSystemOut()
+                             : log4cxx::ConsoleAppender::getSystemErr());
+    if (isOutput) {
+        auto queue = std::make_shared<log4cxx::AsyncAppender>();
+        queue->setBlocking(false);
+        queue->setBufferSize(LongestLogQueue);
+        queue->addAppender(console);
+        log4cxx::BasicConfigurator::configure(queue);
+    } else {
+        log4cxx::BasicConfigurator::configure(console);
+    }
     logger()->setLevel(asLog4cxx(level));
 }
 
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -40,7 +40,16 @@
     std::string m_line;
 };
 
-/// \brief Sends log lines to standard error, from \p level on. Call once, before any event.
-void configureLog(LogEvent::Level level);
+/// \brief Where log lines go.
+enum class LogTarget {
+    /// Written at once.
+    StandardError,
+    /// Written by a thread of its own from a bounded queue: a reader that falls behind costs
+    /// lines, which are counted, and never blocks the caller.
+    StandardOutput,
+};
+
+/// \brief Sends log lines to \p target, from \p level on. Call once, before any event.
+void configureLog(LogEvent::Level level, LogTarget target = LogTarget::StandardError);
 
 } // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/loop/httpclient.cpp
@@ -0,0 +1,273 @@
+#include "httpclient.h"
+
+#include "socketoptions.h"
+#include "timerqueue.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace anvilmill::daemon {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+struct OpenCall
+{
+    HttpCall call;
+    HttpClient::Handler handler;
+    MonotonicTime deadline;
+};
+
+} // namespace
+
+/// Calls that wait, and the connections; kept alive by the operations of the connections.
+struct HttpClient::State
+{
+    boost::asio::io_context &loop;
+    TimerQueue &timers;
+    tcp::endpoint server;
+    HttpClientLimits limits;
+    std::deque<OpenCall> waiting;
+    std::vector<std::shared_ptr<Connection>> connections;
+    std::size_t idle = 0;
+    bool isClosed = false;
+
+    void answer(const Handler &handler, HttpAnswer result)
+    {
+        boost::asio::post(loop, [handler, result = std::move(result)] { handler(result); });
+    }
+};
+
+/// One kept connection. A read is always pending, so that a close by the server is seen at once.
+class HttpClient::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    explicit Connection(std::shared_ptr<State> state)
+        : m_state(std::move(state))
+        , m_socket(m_state->loop)
+    {
+    }
+
+    [[nodiscard]] bool isIdle() const noexcept { return m_isOpen && !m_call; }
+
+    void open(OpenCall call)
+    {
+        take(std::move(call));
+        m_socket.async_connect(m_state->server, [self = shared_from_this()](error_code error) {
+            self->connected(error);
+        });
+    }
+
+    void send(OpenCall call)
+    {
+        --m_state->idle;
+        take(std::move(call));
+        write();
+    }
+
+    void close()
+    {
+        error_code ignored;
+        m_socket.close(ignored);
+        m_isOpen = false;
+    }
+
+private:
+    void take(OpenCall call)
+    {
+        m_call = std::move(call);
+        m_deadline = m_state->timers.at(m_call->deadline, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->fail("no answer in time");
+        });
+    }
+
+    void connected(error_code error)
+    {
+        if (!m_call || m_state->isClosed)
+            return;
+        if (error) {
+            fail(error.message());
+            return;
+        }
+        m_isOpen = true;
+        setPromptDelivery(m_socket);
+        write();
+        read();
+    }
+
+    void write()
+    {
+        m_isSent = true;
+        const HttpCall &call = m_call->call;
+        m_request = {};
+        m_request.method_string(call.method);
+        m_request.target(call.target);
+        m_request.version(11);
+        m_request.set(http::field::host, m_state->server.address().to_string());
+        for (const auto &[name, value] : call.headers)
+            m_request.set(name, value);
+        if (!call.body.empty())
+            m_request.set(http::field::content_type, "application/json");
+        m_request.body() = call.body;
+        m_request.prepare_payload();
+        http::async_write(m_socket, m_request,
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                              if (error)
+                                  self->fail(error.message());
+                          });
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(m_state->limits.answerSize);
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [self = shared_from_this()](error_code error, std::size_t) {
+                             self->readDone(error);
+                         });
+    }
+
+    void readDone(error_code error)
+    {
+        if (error || !m_call) {
+            fail(error ? error.message() : "answer without a call");
+            return;
+        }
+        const bool isKept = m_parser->keep_alive();
+        auto message = m_parser->release();
+        HttpAnswer answer{HttpOutcome::Answered, message.result_int(), std::move(message.body()),
+                          ""};
+        finish(std::move(answer), isKept);
+    }
+
+    void fail(const std::string &reason)
+    {
+        if (!m_call) {
+            if (m_isOpen)
+                --m_state->idle;
+            drop();
+            return;
+        }
+        const HttpOutcome outcome = m_isSent ? HttpOutcome::NoAnswer : HttpOutcome::NotSent;
+        finish({outcome, 0, "", reason}, false);
+    }
+
+    void finish(HttpAnswer answer, bool isKept)
+    {
+        const OpenCall call = std::move(*m_call);
+        m_call.reset();
+        m_isSent = false;
+        m_state->timers.cancel(m_deadline);
+        const auto state = m_state;
+        if (isKept) {
+            ++state->idle;
+            read();
+        } else {
+            drop();
+        }
+        if (!state->isClosed)
+            call.handler(answer);
+        sendWaiting(*state, state);
+    }
+
+    void drop()
+    {
+        close();
+        auto &all = m_state->connections;
+        all.erase(std::remove(all.begin(), all.end(), shared_from_this()), all.end());
+    }
+
+public:
+    /// Gives waiting calls to idle connections, or to new ones while the limit allows.
+    static void sendWaiting(State &state, const std::shared_ptr<State> &owner)
+    {
+        while (!state.isClosed && !state.waiting.empty()) {
+            if (state.idle == 0 && state.connections.size() >= state.limits.connections)
+                return;
+            OpenCall call = std::move(state.waiting.front());
+            state.waiting.pop_front();
+            const auto idle = std::find_if(state.connections.begin(), state.connections.end(),
+                                           [](const auto &each) { return each->isIdle(); });
+            if (idle != state.connections.end()) {
+                (*idle)->send(std::move(call));
+                continue;
+            }
+            state.connections.push_back(std::make_shared<Connection>(owner));
+            state.connections.back()->open(std::move(call));
+        }
+    }
+
+private:
+    std::shared_ptr<State> m_state;
+    tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    http::request<http::string_body> m_request;
+    std::optional<OpenCall> m_call;
+    TimerQueue::Id m_deadline;
+    bool m_isOpen = false;
+    bool m_isSent = false;
+};
+
+HttpClient::HttpClient(boost::asio::io_context &loop, TimerQueue &timers, tcp::endpoint server,
+                       const HttpClientLimits &limits)
+    : m_state(std::make_shared<State>(
+            State{loop, timers, std::move(server), limits, {}, {}, 0, false}))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    m_state->isClosed = true;
+    m_state->waiting.clear();
+    for (const auto &connection : m_state->connections)
+        connection->close();
+    m_state->connections.clear();
+}
+
+void HttpClient::send(HttpCall call, Handler handler)
+{
+    if (m_state->waiting.size() >= m_state->limits.waiting) {
+        m_state->answer(handler, {HttpOutcome::NotSent, 0, "", "too many calls wait"});
+        return;
+    }
+    const MonotonicTime deadline = std::chrono::steady_clock::now() + call.timeout;
+    m_state->waiting.push_back({std::move(call), std::move(handler), deadline});
+    Connection::sendWaiting(*m_state, m_state);
+}
+
+const tcp::endpoint &HttpClient::server() const noexcept
+{
+    return m_state->server;
+}
+
+std::size_t HttpClient::connections() const noexcept
+{
+    return m_state->connections.size();
+}
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    error_code error;
+    const auto host = boost::asio::ip::make_address_v4(address.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char *const end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc{} || parsed.ptr != end)
+        return std::nullopt;
+    return tcp::endpoint(host, port);
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/loop/prefixfollower.cpp
@@ -0,0 +1,120 @@
+#include "prefixfollower.h"
+
+#include "log.h"
+#include "timerqueue.h"
+
+#include "anvilmill/randomsource.h"
+
+#include <algorithm>
+
+namespace anvilmill::daemon {
+
+PrefixFollower::PrefixFollower(AsyncStore &store, TimerQueue &timers, RandomSource &random,
+                               std::string prefix, const FollowPace &pace, ChangeHandler handler)
+    : m_store(store)
+    , m_timers(timers)
+    , m_random(random)
+    , m_prefix(std::move(prefix))
+    , m_pace(pace)
+    , m_handler(std::move(handler))
+    , m_retry(pace.firstRetry)
+{
+}
+
+void PrefixFollower::start()
+{
+    read();
+}
+
+void PrefixFollower::refresh()
+{
+    m_needsRead = true;
+}
+
+void PrefixFollower::read()
+{
+    m_needsRead = false;
+    m_store.readAll(m_prefix, [this](const StoreItems &answer) { readDone(answer); });
+}
+
+void PrefixFollower::watch()
+{
+    if (m_needsRead) {
+        read();
+        return;
+    }
+    m_store.watch(m_prefix, m_mirror.revision(), m_pace.watchWait,
+                  [this](const StoreItems &answer) { watchDone(answer); });
+}
+
+void PrefixFollower::readDone(const StoreItems &answer)
+{
+    if (answer.outcome != CallOutcome::Done) {
+        m_needsRead = true;
+        failed(answer);
+        return;
+    }
+    succeeded();
+    const std::vector<StoreItem> changes = m_mirror.takeAll(answer);
+    if (!changes.empty())
+        m_handler(changes);
+    call(&PrefixFollower::watch, m_pace.watchGap);
+}
+
+void PrefixFollower::watchDone(const StoreItems &answer)
+{
+    switch (answer.outcome) {
+    case CallOutcome::Done:
+    case CallOutcome::Unchanged: {
+        succeeded();
+        const std::vector<StoreItem> changes = m_mirror.takeChanges(answer);
+        if (!changes.empty())
+            m_handler(changes);
+        call(&PrefixFollower::watch, m_pace.watchGap);
+        return;
+    }
+    case CallOutcome::HistoryGone:
+        LogEvent("store.historyGone").with("prefix", m_prefix).with("after", m_mirror.revision());
+        m_needsRead = true;
+        call(&PrefixFollower::watch, m_pace.watchGap);
+        return;
+    case CallOutcome::Conflict:
+    case CallOutcome::Unreachable:
+    case CallOutcome::Unknown:
+    case CallOutcome::NoLease:
+        failed(answer);
+        return;
+    }
+}
+
+void PrefixFollower::failed(const StoreItems &answer)
+{
+    if (!m_hasFailed)
+        LogEvent("store.lost", LogEvent::Level::Warning)
+                .with("prefix", m_prefix)
+                .with("outcome", asString(answer.outcome))
+                .with("reason", answer.reason)
+                .with("revision", m_mirror.revision());
+    m_hasFailed = true;
+    m_isReachable = false;
+    const auto jittered =
+            std::chrono::duration_cast<Duration>(m_retry * (1.0 + m_random.nextUnit()));
+    m_retry = std::min(m_retry * 2, m_pace.longestRetry);
+    call(&PrefixFollower::watch, jittered);
+}
+
+void PrefixFollower::succeeded()
+{
+    if (m_hasFailed)
+        LogEvent("store.regained").with("prefix", m_prefix).with("revision", m_mirror.revision());
+    m_hasFailed = false;
+    m_isReachable = true;
+    m_retry = m_pace.firstRetry;
+}
+
+void PrefixFollower::call(void (PrefixFollower::*step)(), Duration delay)
+{
+    m_timers.after(delay, [this, step] { (this->*step)(); });
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/loop/prefixfollower.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+#include "anvilmill/platform/asyncstore.h"
+#include "anvilmill/platform/prefixmirror.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace anvilmill {
+class RandomSource;
+} // namespace anvilmill
+
+namespace anvilmill::daemon {
+
+class TimerQueue;
+
+/// \brief How often a follower may call the store.
+struct FollowPace
+{
+    /// Least time between two watches: changes in between come together in the next answer.
+    Duration watchGap = std::chrono::milliseconds(20);
+    /// How long a watch waits; the store takes up to 30 s.
+    Duration watchWait = std::chrono::seconds(10);
+    /// First pause after a failed call, doubled up to the longest, with as much jitter.
+    Duration firstRetry = std::chrono::milliseconds(100);
+    Duration longestRetry = std::chrono::seconds(1);
+};
+
+/// \brief Follows one prefix of the store: reads it once, then watches it.
+///
+/// Reads everything again when the store no longer has the changes. Goes on with what it holds
+/// while the store can't be reached.
+///
+/// Thread safety: used by the loop's thread alone.
+class PrefixFollower
+{
+public:
+    using ChangeHandler = std::function<void(const std::vector<StoreItem> &changes)>;
+
+    /// Precondition: the references outlive the follower, and the store calls no handler after it.
+    PrefixFollower(AsyncStore &store, TimerQueue &timers, RandomSource &random, std::string prefix,
+                   const FollowPace &pace, ChangeHandler handler);
+
+    /// \brief Begins with a read; the handler is called from then on.
+    void start();
+
+    /// \brief Reads everything anew before the next watch.
+    void refresh();
+
+    [[nodiscard]] const PrefixMirror &mirror() const noexcept { return m_mirror; }
+    [[nodiscard]] bool isCurrent() const noexcept { return m_isReachable; }
+
+private:
+    void read();
+    void watch();
+    void readDone(const StoreItems &answer);
+    void watchDone(const StoreItems &answer);
+    void failed(const StoreItems &answer);
+    void succeeded();
+    void call(void (PrefixFollower::*step)(), Duration delay);
+
+    AsyncStore &m_store;
+    TimerQueue &m_timers;
+    RandomSource &m_random;
+    std::string m_prefix;
+    FollowPace m_pace;
+    ChangeHandler m_handler;
+    PrefixMirror m_mirror;
+    Duration m_retry{};
+    bool m_isReachable = false;
+    bool m_hasFailed = false;
+    bool m_needsRead = true;
+};
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/loop/socketoptions.cpp
@@ -0,0 +1,40 @@
+#include "socketoptions.h"
+
+#include "log.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace anvilmill::daemon {
+
+namespace {
+
+/// Several round trips between data centres, and less than a caller waits.
+constexpr unsigned UnacknowledgedLimitMillis = 1000;
+
+} // namespace
+
+void setPromptDelivery(boost::asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code error;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), error);
+    const bool isTimeoutSet =
+            ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                         &UnacknowledgedLimitMillis, sizeof UnacknowledgedLimitMillis)
+            == 0;
+    if (error || !isTimeoutSet)
+        LogEvent("socket.optionRefused", LogEvent::Level::Warning)
+                .with("reason", error ? error.message() : "TCP_USER_TIMEOUT");
+}
+
+bool isClosedByPeer(boost::asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/loop/socketoptions.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace anvilmill::daemon {
+
+/// \brief Sends small messages at once, and gives the connection up when sent data stays
+/// unacknowledged: a peer behind a partition sends no reset.
+void setPromptDelivery(boost::asio::ip::tcp::socket &socket);
+
+/// \brief True if the peer has closed or reset the connection; reads nothing.
+[[nodiscard]] bool isClosedByPeer(boost::asio::ip::tcp::socket &socket);
+
+} // namespace anvilmill::daemon
--- /dev/null
+++ b/src/lib/executor/heldexecutor.cpp
@@ -0,0 +1,284 @@
+#include "anvilmill/executor/heldexecutor.h"
+
+#include <algorithm>
+#include <set>
+
+namespace anvilmill {
+
+namespace {
+
+template <typename Target, typename Source>
+Target cast(Source duration)
+{
+    return std::chrono::duration_cast<Target>(duration);
+}
+
+} // namespace
+
+HeldExecutor::HeldExecutor(const Clock &clock, const HoldSettings &settings,
+                           ExecutorRegistration registration)
+    : m_clock(clock)
+    , m_settings(settings)
+    , m_registration(std::move(registration))
+{
+}
+
+void HeldExecutor::update(const ExecutorRegistration &registration)
+{
+    if (registration.incarnation != m_registration.incarnation)
+        m_isVerified = false;
+    m_registration = registration;
+}
+
+void HeldExecutor::takeOver(StoreVersion membership)
+{
+    m_fences.takeOver(membership);
+    m_isHeld = true;
+    m_isVerified = false;
+    m_leaseAsked = m_clock.now();
+}
+
+void HeldExecutor::release() noexcept
+{
+    m_isHeld = false;
+    m_isVerified = false;
+}
+
+void HeldExecutor::doubt() noexcept
+{
+    m_doubted = m_clock.now();
+    m_isVerified = false;
+}
+
+bool HeldExecutor::mayStart() const noexcept
+{
+    return m_isHeld && m_isVerified && !m_registration.isDraining && m_foreign == 0;
+}
+
+Resources HeldExecutor::room() const noexcept
+{
+    if (!mayStart())
+        return {};
+    Resources room = m_registration.capacity;
+    room -= m_used;
+    return room;
+}
+
+std::optional<StartOrder> HeldExecutor::start(const RunId &run, const Resources &demand)
+{
+    if (!mayStart() || !demand.fitsInto(room()) || m_runs.count(run) > 0)
+        return std::nullopt;
+    m_runs.emplace(run, Run{RunState::Starting, demand, m_fences.current(), {}});
+    m_used += demand;
+    m_leaseAsked = m_clock.now();
+    return StartOrder{run, m_fences.current(), leaseUntil()};
+}
+
+std::optional<RunEnd> HeldExecutor::startAnswered(const StartOrder &order, StartAnswer answer)
+{
+    if (answer == StartAnswer::Fenced && order.fence == m_fences.current())
+        release();
+    const auto found = m_runs.find(order.run);
+    if (found == m_runs.end() || found->second.state == RunState::Foreign)
+        return std::nullopt;
+    if (answer != StartAnswer::Started) {
+        remove(found);
+        const bool isSuperseded = answer == StartAnswer::Superseded;
+        return RunEnd{order.run, isSuperseded ? RunOutcome::Superseded : RunOutcome::NotStarted,
+                      std::nullopt};
+    }
+    if (found->second.state == RunState::Running)
+        return std::nullopt;
+    found->second.state = RunState::Running;
+    found->second.confirmed = m_clock.now();
+    return std::nullopt;
+}
+
+void HeldExecutor::startUnanswered(const StartOrder &order)
+{
+    const auto found = m_runs.find(order.run);
+    if (found == m_runs.end() || found->second.state != RunState::Starting)
+        return;
+    found->second.state = RunState::Uncertain;
+    if (order.fence == m_fences.current())
+        m_fences.raise();
+}
+
+void HeldExecutor::adopt(const RunId &run, const Resources &demand)
+{
+    const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Uncertain, demand, 0, {}});
+    if (isNew) {
+        m_used += demand;
+        return;
+    }
+    if (entry->second.state != RunState::Foreign)
+        return;
+    entry->second.state = RunState::Running;
+    entry->second.demand = demand;
+    m_used += demand;
+    --m_foreign;
+}
+
+std::optional<StopOrder> HeldExecutor::stop(const RunId &run)
+{
+    if (!m_isHeld || m_runs.count(run) == 0)
+        return std::nullopt;
+    return StopOrder{run, m_fences.current()};
+}
+
+HoldOrder HeldExecutor::nextHold()
+{
+    HoldOrder order;
+    order.fence = m_fences.current();
+    order.acknowledgedThrough = m_acknowledgedThrough;
+    // An executor that doesn't answer gets no further lease, so that its runs lapse in a known time.
+    if (m_isVerified)
+        order.leaseUntil = leaseUntil();
+    const bool isUnsettled =
+            !m_isVerified || std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+                return entry.second.state == RunState::Uncertain;
+            });
+    order.wait = isUnsettled ? Duration{} : m_settings.holdWait;
+    order.sent = m_clock.now();
+    if (order.leaseUntil)
+        m_leaseAsked = order.sent;
+    return order;
+}
+
+std::optional<ExecutorTime> HeldExecutor::leaseUntil() const
+{
+    if (!m_executorClock)
+        return std::nullopt;
+    const Duration since = m_clock.now() - m_clockRead;
+    return *m_executorClock + cast<ExecutorTime>(since + m_settings.longestLease);
+}
+
+std::vector<RunEnd> HeldExecutor::holdAnswered(const HoldOrder &order, const HoldReport &report)
+{
+    std::vector<RunEnd> ended;
+    if (!m_isHeld)
+        return ended;
+    m_executorClock = report.clock;
+    m_clockRead = m_clock.now();
+    noteIncarnation(report);
+    takeEnds(report, ended);
+    takeActive(report);
+    takeMissing(order, report, ended);
+    m_isVerified = m_isVerified || (order.fence == m_fences.current() && order.sent >= m_doubted);
+    return ended;
+}
+
+void HeldExecutor::noteIncarnation(const HoldReport &report)
+{
+    if (report.incarnation == m_incarnation)
+        return;
+    m_incarnation = report.incarnation;
+    m_acknowledgedThrough = 0;
+}
+
+void HeldExecutor::takeEnds(const HoldReport &report, std::vector<RunEnd> &ended)
+{
+    for (const ListedEnd &listed : report.ends) {
+        if (listed.number <= m_acknowledgedThrough)
+            continue;
+        m_acknowledgedThrough = listed.number;
+        ended.push_back(listed.end);
+        const auto found = m_runs.find(listed.end.run);
+        if (found == m_runs.end())
+            continue;
+        if (found->second.state == RunState::Running)
+            ended.back().ran = m_clock.now() - found->second.confirmed;
+        remove(found);
+    }
+}
+
+void HeldExecutor::takeActive(const HoldReport &report)
+{
+    for (const RunId &run : report.active) {
+        const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Foreign, {}, 0, {}});
+        if (isNew) {
+            ++m_foreign;
+            entry->second.confirmed = m_clock.now();
+        } else if (entry->second.state == RunState::Uncertain) {
+            entry->second.state = RunState::Running;
+            entry->second.confirmed = m_clock.now();
+        }
+    }
+}
+
+void HeldExecutor::takeMissing(const HoldOrder &order, const HoldReport &report,
+                               std::vector<RunEnd> &ended)
+{
+    const std::set<RunId> active(report.active.begin(), report.active.end());
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        const auto next = std::next(run);
+        const auto outcome =
+                active.count(run->first) > 0 ? std::nullopt : outcomeOfMissing(run->second, order);
+        if (outcome) {
+            ended.push_back({run->first, *outcome, std::nullopt});
+            remove(run);
+        }
+        run = next;
+    }
+}
+
+// An answer says nothing of runs that the executor may have got after it was written.
+std::optional<RunOutcome> HeldExecutor::outcomeOfMissing(const Run &run,
+                                                         const HoldOrder &order) const
+{
+    switch (run.state) {
+    case RunState::Starting:
+        return std::nullopt;
+    case RunState::Uncertain:
+        return order.fence > run.fence ? std::make_optional(RunOutcome::NotStarted) : std::nullopt;
+    case RunState::Running:
+    case RunState::Foreign:
+        return run.confirmed <= order.sent ? std::make_optional(RunOutcome::Lost) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+bool HeldExecutor::holdFenced(const HoldOrder &order) noexcept
+{
+    if (!m_isHeld || order.fence != m_fences.current())
+        return false;
+    release();
+    return true;
+}
+
+std::vector<RunEnd> HeldExecutor::holdUnanswered()
+{
+    m_isVerified = false;
+    std::vector<RunEnd> ended;
+    const auto lease =
+            cast<Duration>(m_settings.longestLease * (1.0 + m_settings.largestClockDrift));
+    if (m_clock.now() < m_leaseAsked + lease + m_settings.longestTransit)
+        return ended;
+    while (!m_runs.empty()) {
+        ended.push_back({m_runs.begin()->first, RunOutcome::Lapsed, std::nullopt});
+        remove(m_runs.begin());
+    }
+    return ended;
+}
+
+std::vector<RunId> HeldExecutor::orphans() const
+{
+    std::vector<RunId> found;
+    if (m_foreign == 0 || !m_isHeld)
+        return found;
+    for (const auto &[id, run] : m_runs) {
+        if (run.state == RunState::Foreign
+            && m_clock.now() - run.confirmed >= m_settings.orphanGrace)
+            found.push_back(id);
+    }
+    return found;
+}
+
+void HeldExecutor::remove(Runs::iterator run)
+{
+    m_used -= run->second.demand;
+    m_foreign -= run->second.state == RunState::Foreign ? 1 : 0;
+    m_runs.erase(run);
+}
+
+} // namespace anvilmill
--- a/src/lib/platform/keyvaluestore.cpp
+++ b/src/lib/platform/keyvaluestore.cpp
@@ -15,6 +15,10 @@
         return "unreachable";
     case CallOutcome::Unknown:
         return "unknown";
+    case CallOutcome::HistoryGone:
+        return "historyGone";
+    case CallOutcome::NoLease:
+        return "noLease";
     }
     return "unknown";
 }
--- /dev/null
+++ b/src/lib/platform/prefixmirror.cpp
@@ -0,0 +1,54 @@
+#include "anvilmill/platform/prefixmirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace anvilmill {
+
+std::vector<StoreItem> PrefixMirror::takeAll(const StoreItems &read)
+{
+    std::vector<StoreItem> changed;
+    if (read.revision < m_revision)
+        return changed;
+    std::set<std::string> present;
+    for (const StoreItem &item : read.items) {
+        present.insert(item.key);
+        if (take(item))
+            changed.push_back(item);
+    }
+    for (auto item = m_items.begin(); item != m_items.end();) {
+        if (present.count(item->first) > 0) {
+            ++item;
+            continue;
+        }
+        changed.push_back({item->first, "", read.revision, true});
+        item = m_items.erase(item);
+    }
+    m_revision = read.revision;
+    return changed;
+}
+
+std::vector<StoreItem> PrefixMirror::takeChanges(const StoreItems &changes)
+{
+    std::vector<StoreItem> changed;
+    for (const StoreItem &item : changes.items) {
+        if (item.revision > m_revision && take(item))
+            changed.push_back(item);
+    }
+    m_revision = std::max(m_revision, changes.revision);
+    return changed;
+}
+
+bool PrefixMirror::take(const StoreItem &item)
+{
+    if (item.isRemoved)
+        return m_items.erase(item.key) > 0;
+    StoreItem &held = m_items[item.key];
+    if (held.revision >= item.revision)
+        return false;
+    const bool isChanged = held.revision == NoVersion || held.value != item.value;
+    held = item;
+    return isChanged;
+}
+
+} // namespace anvilmill
--- /dev/null
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -0,0 +1,402 @@
+#include "anvilmill/scheduling/batchscheduler.h"
+
+#include "anvilmill/randomsource.h"
+#include "anvilmill/scheduling/roomview.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace anvilmill {
+
+namespace {
+
+/// Callers that come back sooner meet the same queue.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(500);
+/// An executor that has seen runs of a former attempt gets numbers above any that one may have used.
+constexpr std::uint64_t SupersededStep = 64;
+constexpr double MillisPerCore = 1000.0;
+
+double asSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration asDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+double coreSeconds(const Resources &resources, Duration work)
+{
+    return static_cast<double>(resources.cpuMillis) / MillisPerCore * asSeconds(work);
+}
+
+} // namespace
+
+const char *asString(BatchEnd end) noexcept
+{
+    switch (end) {
+    case BatchEnd::Completed:
+        return "completed";
+    case BatchEnd::Failed:
+        return "failed";
+    case BatchEnd::Refused:
+        return "refused";
+    case BatchEnd::Broken:
+        return "broken";
+    case BatchEnd::Cancelled:
+        return "cancelled";
+    }
+    return "broken";
+}
+
+bool BatchScheduler::Position::operator<(const Position &other) const noexcept
+{
+    return std::tie(priority, arrived, number)
+           < std::tie(other.priority, other.arrived, other.number);
+}
+
+BatchScheduler::BatchScheduler(const Clock &clock, RandomSource &random, RoomView &view,
+                               BatchOutput &output)
+    : m_clock(clock)
+    , m_random(random)
+    , m_view(view)
+    , m_output(output)
+{
+}
+
+std::optional<BatchRefusal> BatchScheduler::submit(JobNumber number, BatchJob job)
+{
+    const std::size_t routeIndex = m_routes.indexOf(job.route->route);
+    if (auto refusal = refusalOf(job, routeIndex))
+        return refusal;
+    Job entry;
+    entry.routeIndex = routeIndex;
+    entry.tasks.resize(job.tasks.size());
+    entry.left = job.tasks.size();
+    entry.unstarted.resize(job.tasks.size());
+    // The first tasks go first: the last of the list is taken next.
+    std::iota(entry.unstarted.rbegin(), entry.unstarted.rend(), 0U);
+    for (std::size_t i = 0; i < job.tasks.size(); ++i)
+        entry.queuedWork += coreSeconds(job.tasks[i].resources, workOf(job, routeIndex, i));
+    const MonotonicTime expiry = job.deadline;
+    entry.job = std::move(job);
+    Job &placed = m_jobs.emplace(number, std::move(entry)).first->second;
+    m_queue.insert(positionOf(number, placed));
+    setExpiry(number, placed, expiry);
+    return std::nullopt;
+}
+
+std::optional<BatchRefusal> BatchScheduler::refusalOf(const BatchJob &job,
+                                                      std::size_t routeIndex) const
+{
+    const std::string &service = job.route->service;
+    if (!m_view.isServed(service))
+        return BatchRefusal{"noExecutor", retryAfter(LeastRetryAfter)};
+    for (const TaskDemand &task : job.tasks) {
+        if (m_view.fittingExecutors(service, task.resources) == 0)
+            return BatchRefusal{"tooLarge", retryAfter(LeastRetryAfter)};
+    }
+    const double capacity = m_view.capacityOf(service);
+    const Duration wait = asDuration(queuedBefore(job.route->priority) / capacity);
+    const Duration own = longestWork(job, routeIndex);
+    if (m_clock.now() + wait + own > job.deadline && wait > Duration{})
+        return BatchRefusal{"queueTooLong", retryAfter(wait)};
+    return std::nullopt;
+}
+
+Duration BatchScheduler::workOf(const BatchJob &job, std::size_t routeIndex, std::size_t task) const
+{
+    const Duration declared = job.tasks[task].estimate;
+    return m_estimator.work(routeIndex,
+                            declared > Duration{} ? std::make_optional(declared) : std::nullopt);
+}
+
+Duration BatchScheduler::longestWork(const BatchJob &job, std::size_t routeIndex) const
+{
+    Duration longest{};
+    for (std::size_t i = 0; i < job.tasks.size(); ++i)
+        longest = std::max(longest, workOf(job, routeIndex, i));
+    return longest;
+}
+
+double BatchScheduler::queuedBefore(int priority) const
+{
+    double work = 0.0;
+    for (const Position &position : m_queue) {
+        if (position.priority > priority)
+            break;
+        work += m_jobs.at(position.number).queuedWork;
+    }
+    return work;
+}
+
+/// Between one and two times \p wait, so that refused callers do not return together.
+Duration BatchScheduler::retryAfter(Duration wait) const
+{
+    const Duration least = std::max(wait, LeastRetryAfter);
+    return least + asDuration(asSeconds(least) * m_random.nextUnit());
+}
+
+BatchScheduler::Position BatchScheduler::positionOf(JobNumber number, const Job &job) const
+{
+    return {job.job.route->priority, job.job.arrived, number};
+}
+
+void BatchScheduler::cancel(JobNumber number)
+{
+    if (m_jobs.count(number) > 0)
+        finish(number, {BatchEnd::Cancelled, "cancelled", {}, 0, {}});
+}
+
+void BatchScheduler::place()
+{
+    // A demand that found no room means that no larger one of the service does either.
+    std::map<std::string, std::int64_t> hopeless;
+    std::vector<JobNumber> waiting;
+    waiting.reserve(m_queue.size());
+    for (const Position &position : m_queue)
+        waiting.push_back(position.number);
+    for (const JobNumber number : waiting) {
+        Job &job = m_jobs.at(number);
+        const std::int64_t cpu = job.job.tasks[job.unstarted.back()].resources.cpuMillis;
+        const auto known = hopeless.find(job.job.route->service);
+        if (known != hopeless.end() && cpu >= known->second)
+            continue;
+        if (!placeTasks(number, job))
+            hopeless[job.job.route->service] = cpu;
+    }
+}
+
+bool BatchScheduler::placeTasks(JobNumber number, Job &job)
+{
+    const std::string &service = job.job.route->service;
+    while (!job.unstarted.empty()) {
+        const std::uint32_t index = job.unstarted.back();
+        const Task &task = job.tasks[index];
+        const Resources &demand = job.job.tasks[index].resources;
+        auto executor = m_view.bestFor({service, demand, &task.tried});
+        if (!executor && !task.tried.empty())
+            executor = m_view.bestFor({service, demand, nullptr});
+        if (!executor)
+            return false;
+        job.unstarted.pop_back();
+        startTask(number, job, index, *executor);
+    }
+    m_queue.erase(positionOf(number, job));
+    return true;
+}
+
+void BatchScheduler::startTask(JobNumber number, Job &job, std::uint32_t index,
+                               std::size_t executor)
+{
+    Task &task = job.tasks[index];
+    ++task.runNumber;
+    if (job.runs++ == 0)
+        job.firstStart = m_clock.now();
+    const Resources &demand = job.job.tasks[index].resources;
+    job.queuedWork -= coreSeconds(demand, workOf(job.job, job.routeIndex, index));
+    // Jobs of this kind have one occurrence and one step.
+    const RunId run{job.job.id + ".0.0." + std::to_string(index), task.runNumber};
+    m_running[run] = {{number, index}, executor, demand, false};
+    m_view.asked(executor, demand);
+    m_output.startTask({run, {number, index}, executor, demand, job.job.spec, job.job.deadline});
+}
+
+void BatchScheduler::enqueue(JobNumber number, Job &job, std::uint32_t index)
+{
+    job.unstarted.push_back(index);
+    job.queuedWork +=
+            coreSeconds(job.job.tasks[index].resources, workOf(job.job, job.routeIndex, index));
+    m_queue.insert(positionOf(number, job));
+}
+
+void BatchScheduler::setExpiry(JobNumber number, Job &job, MonotonicTime expiry)
+{
+    m_expiries.erase({job.expiry, number});
+    job.expiry = expiry;
+    m_expiries.insert({expiry, number});
+}
+
+void BatchScheduler::startAccepted(const RunId &run)
+{
+    const auto found = m_running.find(run);
+    if (found == m_running.end() || found->second.isAccepted)
+        return;
+    found->second.isAccepted = true;
+    m_view.answered(found->second.executor, found->second.demand);
+}
+
+void BatchScheduler::startRefused(const RunId &run)
+{
+    const auto found = m_running.find(run);
+    if (found == m_running.end())
+        return;
+    m_view.refused(found->second.executor);
+    runEnded({run, RunOutcome::NotStarted, std::nullopt});
+}
+
+BatchScheduler::RunningTasks::node_type BatchScheduler::takeRunning(const RunId &run)
+{
+    auto node = m_running.extract(run);
+    if (!node.empty() && !node.mapped().isAccepted)
+        m_view.answered(node.mapped().executor, node.mapped().demand);
+    return node;
+}
+
+void BatchScheduler::runEnded(const RunEnd &end)
+{
+    const auto node = takeRunning(end.run);
+    if (node.empty())
+        return;
+    const Running &running = node.mapped();
+    const JobNumber number = running.task.job;
+    const auto found = m_jobs.find(number);
+    if (found == m_jobs.end())
+        return;
+    Job &job = found->second;
+    noteEnd(running, job, end);
+    switch (end.outcome) {
+    case RunOutcome::Done:
+        taskDone(number, job, running.task.index);
+        return;
+    case RunOutcome::Failed:
+        taskFailed(number, job, running.task.index, running.executor);
+        return;
+    case RunOutcome::Superseded:
+        job.tasks[running.task.index].runNumber += SupersededStep;
+        enqueue(number, job, running.task.index);
+        return;
+    case RunOutcome::NotStarted:
+    case RunOutcome::Stopped:
+    case RunOutcome::Lapsed:
+    case RunOutcome::Broken:
+    case RunOutcome::Lost:
+        job.tasks[running.task.index].tried.push_back(running.executor);
+        enqueue(number, job, running.task.index);
+        return;
+    }
+}
+
+void BatchScheduler::noteEnd(const Running &running, const Job &job, const RunEnd &end)
+{
+    if (end.outcome == RunOutcome::Failed || end.outcome == RunOutcome::Lost
+        || end.outcome == RunOutcome::Lapsed) {
+        noteFailure(running.executor);
+        return;
+    }
+    if (end.outcome != RunOutcome::Done)
+        return;
+    ExecutorHealth &health = healthOf(running.executor);
+    m_ejected -= health.isEjected() ? 1 : 0;
+    health.succeeded();
+    if (!end.ran)
+        return;
+    const Duration declared = job.job.tasks[running.task.index].estimate;
+    m_estimator.record(job.routeIndex, running.executor, *end.ran,
+                       declared > Duration{} ? std::make_optional(declared) : std::nullopt);
+    m_view.setSpeed(running.executor, m_estimator.speed(running.executor));
+}
+
+void BatchScheduler::noteFailure(std::size_t executor)
+{
+    ExecutorHealth &health = healthOf(executor);
+    if (!health.failed())
+        return;
+    const bool isNew = !health.isEjected();
+    const auto allowed = std::max(1.0, m_healthSettings.largestEjectedShare
+                                               * static_cast<double>(m_view.listed()));
+    if (isNew && static_cast<double>(m_ejected + 1) > allowed)
+        return;
+    m_ejected += isNew ? 1 : 0;
+    health.eject(m_clock.now(), m_random);
+    m_view.avoid(executor, health.probeAt());
+}
+
+ExecutorHealth &BatchScheduler::healthOf(std::size_t executor)
+{
+    while (m_health.size() <= executor)
+        m_health.emplace_back(m_healthSettings);
+    return m_health[executor];
+}
+
+void BatchScheduler::taskDone(JobNumber number, Job &job, std::uint32_t index)
+{
+    job.tasks[index].isDone = true;
+    if (--job.left == 0)
+        finish(number, {BatchEnd::Completed, "", {}, 0, {}});
+}
+
+void BatchScheduler::taskFailed(JobNumber number, Job &job, std::uint32_t index,
+                                std::size_t executor)
+{
+    Task &task = job.tasks[index];
+    if (++task.failures >= job.job.route->maxAttempts) {
+        finish(number, {BatchEnd::Failed, "taskFailed", {}, 0, {}});
+        return;
+    }
+    task.tried.push_back(executor);
+    enqueue(number, job, index);
+}
+
+void BatchScheduler::expire()
+{
+    const MonotonicTime now = m_clock.now();
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        const JobNumber number = m_expiries.begin()->second;
+        expireJob(number, m_jobs.at(number));
+    }
+}
+
+void BatchScheduler::expireJob(JobNumber number, Job &job)
+{
+    if (job.runs == 0)
+        finish(number, {BatchEnd::Refused, "waitedTooLong", retryAfter(LeastRetryAfter), 0, {}});
+    else
+        finish(number, {BatchEnd::Broken, "deadline", {}, 0, {}});
+}
+
+std::optional<MonotonicTime> BatchScheduler::nextExpiry() const
+{
+    if (m_expiries.empty())
+        return std::nullopt;
+    return m_expiries.begin()->first;
+}
+
+void BatchScheduler::finish(JobNumber number, BatchResult result)
+{
+    const auto found = m_jobs.find(number);
+    const Job job = std::move(found->second);
+    m_jobs.erase(found);
+    m_expiries.erase({job.expiry, number});
+    m_queue.erase(positionOf(number, job));
+    result.runs = job.runs;
+    result.waited = (job.runs > 0 ? job.firstStart : m_clock.now()) - job.job.arrived;
+    std::vector<std::pair<std::size_t, RunId>> stops;
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+        const RunId run{job.job.id + ".0.0." + std::to_string(i), job.tasks[i].runNumber};
+        const auto node = takeRunning(run);
+        if (!node.empty())
+            stops.emplace_back(node.mapped().executor, run);
+    }
+    for (const auto &[executor, run] : stops)
+        m_output.stopTask(executor, run);
+    m_output.jobEnded(number, result);
+}
+
+bool BatchScheduler::hasStarted(JobNumber number) const
+{
+    const auto found = m_jobs.find(number);
+    return found != m_jobs.end() && found->second.runs > 0;
+}
+
+std::size_t BatchScheduler::waitingJobs(const std::string &route) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &entry) {
+                return entry.second.runs == 0 && entry.second.job.route->route == route;
+            }));
+}
+
+} // namespace anvilmill
--- /dev/null
+++ b/src/lib/scheduling/roomview.cpp
@@ -0,0 +1,169 @@
+#include "anvilmill/scheduling/roomview.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvilmill {
+
+namespace {
+
+/// Speeds within this factor of each other count as equal: run times of one kind of task vary more.
+constexpr double SpeedStep = 1.15;
+
+int speedClassOf(double speed)
+{
+    return static_cast<int>(std::lround(std::log(speed) / std::log(SpeedStep)));
+}
+
+} // namespace
+
+RoomView::RoomView(const Clock &clock, std::string dataCentre, Duration staleAfter)
+    : m_clock(clock)
+    , m_dataCentre(std::move(dataCentre))
+    , m_staleAfter(staleAfter)
+{
+}
+
+std::size_t RoomView::update(const ExecutorRegistration &registration)
+{
+    const auto [index, isNew] = m_indexes.emplace(registration.id, m_entries.size());
+    if (isNew)
+        m_entries.emplace_back();
+    Entry &entry = m_entries[index->second];
+    m_listed += entry.isListed ? 0 : 1;
+    entry.isListed = true;
+    entry.registration = registration;
+    return index->second;
+}
+
+void RoomView::remove(const std::string &executor)
+{
+    const auto index = find(executor);
+    if (!index || !m_entries[*index].isListed)
+        return;
+    m_entries[*index].isListed = false;
+    m_entries[*index].hasReport = false;
+    --m_listed;
+}
+
+void RoomView::report(const RoomReport &report)
+{
+    const auto index = find(report.executor);
+    if (!index)
+        return;
+    Entry &entry = m_entries[*index];
+    entry.room = report.room;
+    entry.reported = m_clock.now();
+    entry.hasReport = true;
+}
+
+void RoomView::asked(std::size_t executor, const Resources &demand)
+{
+    m_entries[executor].asked += demand;
+}
+
+void RoomView::answered(std::size_t executor, const Resources &demand)
+{
+    m_entries[executor].asked -= demand;
+}
+
+void RoomView::refused(std::size_t executor)
+{
+    m_entries[executor].hasReport = false;
+}
+
+void RoomView::setSpeed(std::size_t executor, double speed)
+{
+    m_entries[executor].speed = speed;
+    m_entries[executor].speedClass = speedClassOf(speed);
+}
+
+void RoomView::avoid(std::size_t executor, MonotonicTime until)
+{
+    m_entries[executor].avoidedUntil = until;
+}
+
+std::optional<std::size_t> RoomView::bestFor(const RoomQuery &query) const
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        if (!offers(m_entries[i], query))
+            continue;
+        if (query.excluded
+            && std::find(query.excluded->begin(), query.excluded->end(), i)
+                       != query.excluded->end())
+            continue;
+        if (!best || isBetter(m_entries[i], m_entries[*best]))
+            best = i;
+    }
+    return best;
+}
+
+bool RoomView::isUsable(const Entry &entry, const std::string &service) const
+{
+    return entry.isListed && !entry.registration.isDraining && entry.registration.service == service
+           && entry.avoidedUntil <= m_clock.now();
+}
+
+bool RoomView::offers(const Entry &entry, const RoomQuery &query) const
+{
+    if (!entry.hasReport || m_clock.now() - entry.reported > m_staleAfter
+        || !isUsable(entry, query.service))
+        return false;
+    Resources room = entry.room;
+    room -= entry.asked;
+    return query.demand.fitsInto(room);
+}
+
+bool RoomView::isBetter(const Entry &left, const Entry &right) const
+{
+    if (left.speedClass != right.speedClass)
+        return left.speedClass > right.speedClass;
+    const bool isLeftLocal = left.registration.dataCentre == m_dataCentre;
+    const bool isRightLocal = right.registration.dataCentre == m_dataCentre;
+    if (isLeftLocal != isRightLocal)
+        return isLeftLocal;
+    return left.room.cpuMillis - left.asked.cpuMillis
+           < right.room.cpuMillis - right.asked.cpuMillis;
+}
+
+double RoomView::capacityOf(const std::string &service) const
+{
+    constexpr double MillisPerCore = 1000.0;
+    double cores = 0.0;
+    for (const Entry &entry : m_entries) {
+        if (isUsable(entry, service))
+            cores += static_cast<double>(entry.registration.capacity.cpuMillis) / MillisPerCore
+                     * entry.speed;
+    }
+    return cores;
+}
+
+bool RoomView::isServed(const std::string &service) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [&](const Entry &entry) { return isUsable(entry, service); });
+}
+
+std::size_t RoomView::fittingExecutors(const std::string &service, const Resources &demand) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
+                return isUsable(entry, service) && demand.fitsInto(entry.registration.capacity);
+            }));
+}
+
+const std::string &RoomView::idOf(std::size_t executor) const
+{
+    return m_entries[executor].registration.id;
+}
+
+std::optional<std::size_t> RoomView::find(const std::string &executor) const
+{
+    const auto found = m_indexes.find(executor);
+    if (found == m_indexes.end())
+        return std::nullopt;
+    return found->second;
+}
+
+} // namespace anvilmill
--- a/src/tools/subcommand.cpp
+++ b/src/tools/subcommand.cpp
@@ -4,6 +4,7 @@
 #include "experiment.h"
 #include "historycommand.h"
 #include "loadcommand.h"
+#include "machinecommand.h"
 #include "platformstandincommand.h"
 #include "reportcommand.h"
 #include "serve.h"
@@ -18,6 +19,7 @@
 {
     static const std::vector<Subcommand> all = {
             {"serve", "run one entry host", runServe},
+            {"machine", "run one entry host on the fleet's machines", runMachine},
             {"demo", "run a job through a whole system in one process", runDemo},
             {"submit", "submit one job and print its answer", runSubmit},
             {"status", "print the state of entry hosts", runStatus},
--- /dev/null
+++ b/tests/fakes/fakeexecutor.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "anvilmill/executor/heldexecutor.h"
+#include "anvilmill/manualclock.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvilmill::tests {
+
+/// An executor as the platform's page describes it: one lease and one highest fence for all that
+/// it runs, numbered ends that are kept until they are acknowledged, no check of its room.
+class FakeExecutor
+{
+public:
+    explicit FakeExecutor(const ManualClock &clock, Resources capacity)
+        : m_clock(clock)
+        , m_capacity(capacity)
+    {
+        restart();
+    }
+
+    /// Runs nothing, has seen no fence, counts anew.
+    void restart()
+    {
+        m_born = m_clock.now();
+        ++m_incarnation;
+        m_fence = 0;
+        m_runs.clear();
+        m_ends.clear();
+        m_highest.clear();
+        m_lastEnd = 0;
+        m_leaseUntil = ExecutorTime{};
+    }
+
+    StartAnswer start(const StartOrder &order, const Resources &demand)
+    {
+        lapse();
+        if (order.fence < m_fence)
+            return StartAnswer::Fenced;
+        m_fence = order.fence;
+        if (m_runs.count(order.run) > 0)
+            return StartAnswer::Started;
+        if (order.leaseUntil)
+            extend(*order.leaseUntil);
+        if (order.run.number <= m_highest[order.run.task])
+            return StartAnswer::Superseded;
+        if (!order.leaseUntil || *order.leaseUntil <= now())
+            return StartAnswer::Refused;
+        m_runs[order.run] = demand;
+        m_highestUse = std::max(m_highestUse, use());
+        return StartAnswer::Started;
+    }
+
+    void stop(const StopOrder &order)
+    {
+        lapse();
+        if (order.fence < m_fence)
+            return;
+        m_fence = order.fence;
+        auto &highest = m_highest[order.run.task];
+        highest = std::max(highest, order.run.number);
+        if (m_runs.count(order.run) > 0)
+            end(order.run, RunOutcome::Stopped);
+    }
+
+    /// Nothing if the fence was beaten.
+    std::optional<HoldReport> hold(const HoldOrder &order)
+    {
+        lapse();
+        if (order.fence < m_fence)
+            return std::nullopt;
+        m_fence = order.fence;
+        if (order.leaseUntil)
+            extend(*order.leaseUntil);
+        m_ends.erase(m_ends.begin(), m_ends.upper_bound(order.acknowledgedThrough));
+        HoldReport report{now(), m_incarnation, {}, {}};
+        for (const auto &[run, demand] : m_runs)
+            report.active.push_back(run);
+        for (const auto &[number, each] : m_ends)
+            report.ends.push_back({number, each});
+        return report;
+    }
+
+    void end(const RunId &run, RunOutcome outcome)
+    {
+        m_runs.erase(run);
+        auto &highest = m_highest[run.task];
+        highest = std::max(highest, run.number);
+        m_ends[++m_lastEnd] = {run, outcome, std::nullopt};
+    }
+
+    [[nodiscard]] bool runs(const RunId &run)
+    {
+        lapse();
+        return m_runs.count(run) > 0;
+    }
+
+    /// Largest use of the processor so far, in thousandths of a core.
+    [[nodiscard]] std::int64_t highestUse() const { return m_highestUse; }
+    [[nodiscard]] const Resources &capacity() const { return m_capacity; }
+    [[nodiscard]] std::size_t unacknowledged() const { return m_ends.size(); }
+
+private:
+    [[nodiscard]] ExecutorTime now() const
+    {
+        return std::chrono::duration_cast<ExecutorTime>(m_clock.now() - m_born);
+    }
+
+    [[nodiscard]] std::int64_t use() const
+    {
+        std::int64_t sum = 0;
+        for (const auto &[run, demand] : m_runs)
+            sum += demand.cpuMillis;
+        return sum;
+    }
+
+    void extend(ExecutorTime until)
+    {
+        constexpr ExecutorTime LongestLease{1000};
+        m_leaseUntil = std::max(m_leaseUntil, std::min(until, now() + LongestLease));
+    }
+
+    void lapse()
+    {
+        if (now() < m_leaseUntil)
+            return;
+        while (!m_runs.empty())
+            end(RunId(m_runs.begin()->first), RunOutcome::Lapsed);
+    }
+
+    const ManualClock &m_clock;
+    Resources m_capacity;
+    MonotonicTime m_born;
+    std::uint64_t m_incarnation = 0;
+    Fence m_fence = 0;
+    ExecutorTime m_leaseUntil{};
+    std::map<RunId, Resources> m_runs;
+    std::map<std::uint64_t, RunEnd> m_ends;
+    std::map<std::string, std::uint64_t> m_highest;
+    std::uint64_t m_lastEnd = 0;
+    std::int64_t m_highestUse = 0;
+};
+
+} // namespace anvilmill::tests
--- /dev/null
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -0,0 +1,287 @@
+#include "fakes/fakeexecutor.h"
+
+#include "anvilmill/executor/heldexecutor.h"
+#include "anvilmill/manualclock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+using namespace anvilmill;
+using anvilmill::tests::FakeExecutor;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Resources Capacity{32000, 65536, 0};
+const Resources Task{14000, 64, 0};
+
+RunId runOf(const std::string &task, std::uint64_t number = 1)
+{
+    return {task, number};
+}
+
+} // namespace
+
+class HeldExecutorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HeldExecutorTest);
+    CPPUNIT_TEST(nothingStartsBeforeAHoldIsAnswered);
+    CPPUNIT_TEST(roomIsNeverOverrun);
+    CPPUNIT_TEST(endFreesRoomAndIsAcknowledgedByTheNextHold);
+    CPPUNIT_TEST(startWithoutAnswerKeepsItsRoomUntilTheFenceIsRaised);
+    CPPUNIT_TEST(startCarriedOutLateIsVoidOnceSettled);
+    CPPUNIT_TEST(startWhoseAnswerWasLostIsAdopted);
+    CPPUNIT_TEST(ownRaisedFenceDoesNotLoseTheExecutor);
+    CPPUNIT_TEST(higherFenceOfAnotherHolderEndsTheHold);
+    CPPUNIT_TEST(runsOfAnEarlierHolderBlockStartsAndBecomeOrphans);
+    CPPUNIT_TEST(claimedRunOfAnEarlierHolderCountsWithItsDemand);
+    CPPUNIT_TEST(claimedRunThatIsNotThereNeverRan);
+    CPPUNIT_TEST(answerOlderThanAStartSaysNothingOfIt);
+    CPPUNIT_TEST(restartUnderTheSameIdLosesTheRuns);
+    CPPUNIT_TEST(silentExecutorGetsNoLeaseAndItsRunsLapse);
+    CPPUNIT_TEST(afterASuspensionOnlyALaterHoldCounts);
+    CPPUNIT_TEST(oldNumberIsSuperseded);
+    CPPUNIT_TEST(drainingExecutorTakesNoStarts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_clock = std::make_unique<ManualClock>();
+        m_executor = std::make_unique<FakeExecutor>(*m_clock, Capacity);
+        m_held = makeHeld();
+        m_held->takeOver(5);
+        hold(*m_held);
+        m_clock->advance(milliseconds(1));
+    }
+
+    void nothingStartsBeforeAHoldIsAnswered()
+    {
+        const auto held = makeHeld();
+        CPPUNIT_ASSERT(!held->start(runOf("a"), Task));
+        held->takeOver(6);
+        CPPUNIT_ASSERT(!held->start(runOf("a"), Task));
+        hold(*held);
+        CPPUNIT_ASSERT(held->start(runOf("a"), Task));
+    }
+
+    void roomIsNeverOverrun()
+    {
+        start("a");
+        start("b");
+        CPPUNIT_ASSERT(!m_held->start(runOf("c"), Task));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{28000}, m_executor->highestUse());
+    }
+
+    void endFreesRoomAndIsAcknowledgedByTheNextHold()
+    {
+        start("a");
+        m_clock->advance(milliseconds(50));
+        m_executor->end(runOf("a"), RunOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{18000}, m_held->room().cpuMillis);
+        const auto ends = hold(*m_held);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::Done);
+        CPPUNIT_ASSERT(ends.front().ran == Duration(milliseconds(50)));
+        CPPUNIT_ASSERT(m_held->room() == Capacity);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_executor->unacknowledged());
+        CPPUNIT_ASSERT(hold(*m_held).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_executor->unacknowledged());
+    }
+
+    void startWithoutAnswerKeepsItsRoomUntilTheFenceIsRaised()
+    {
+        const auto order = m_held->start(runOf("a"), Task);
+        const HoldOrder under = m_held->nextHold();
+        m_held->startUnanswered(*order);
+        CPPUNIT_ASSERT(m_held->holdAnswered(under, *m_executor->hold(under)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{18000}, m_held->room().cpuMillis);
+        const auto ends = hold(*m_held);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::NotStarted);
+        CPPUNIT_ASSERT(m_held->room() == Capacity);
+    }
+
+    void startCarriedOutLateIsVoidOnceSettled()
+    {
+        const auto order = m_held->start(runOf("a"), Task);
+        m_held->startUnanswered(*order);
+        hold(*m_held);
+        CPPUNIT_ASSERT(m_executor->start(*order, Task) == StartAnswer::Fenced);
+        CPPUNIT_ASSERT(!m_executor->runs(runOf("a")));
+    }
+
+    void startWhoseAnswerWasLostIsAdopted()
+    {
+        const auto order = m_held->start(runOf("a"), Task);
+        (void)m_executor->start(*order, Task);
+        m_held->startUnanswered(*order);
+        CPPUNIT_ASSERT(hold(*m_held).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{18000}, m_held->room().cpuMillis);
+        m_executor->end(runOf("a"), RunOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold(*m_held).size());
+    }
+
+    void ownRaisedFenceDoesNotLoseTheExecutor()
+    {
+        const auto first = m_held->start(runOf("a"), Task);
+        const auto second = m_held->start(runOf("b"), Task);
+        m_held->startUnanswered(*first);
+        hold(*m_held);
+        const auto end = m_held->startAnswered(*second, m_executor->start(*second, Task));
+        CPPUNIT_ASSERT(end && end->outcome == RunOutcome::NotStarted);
+        CPPUNIT_ASSERT(m_held->isHeld());
+        CPPUNIT_ASSERT(m_held->start(runOf("b", 2), Task));
+    }
+
+    void higherFenceOfAnotherHolderEndsTheHold()
+    {
+        const auto other = makeHeld();
+        other->takeOver(6);
+        hold(*other);
+        const HoldOrder order = m_held->nextHold();
+        CPPUNIT_ASSERT(!m_executor->hold(order));
+        CPPUNIT_ASSERT(m_held->holdFenced(order));
+        CPPUNIT_ASSERT(!m_held->isHeld());
+        CPPUNIT_ASSERT(!m_held->start(runOf("a"), Task));
+    }
+
+    void runsOfAnEarlierHolderBlockStartsAndBecomeOrphans()
+    {
+        start("a");
+        const auto other = makeHeld();
+        other->takeOver(6);
+        hold(*other);
+        CPPUNIT_ASSERT(!other->start(runOf("b"), Task));
+        CPPUNIT_ASSERT(other->orphans().empty());
+        m_clock->advance(HoldSettings{}.orphanGrace);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other->orphans().size());
+        m_executor->stop(*other->stop(runOf("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold(*other).size());
+        CPPUNIT_ASSERT(other->start(runOf("b"), Task));
+    }
+
+    void claimedRunOfAnEarlierHolderCountsWithItsDemand()
+    {
+        start("a");
+        const auto other = makeHeld();
+        other->takeOver(6);
+        hold(*other);
+        other->adopt(runOf("a"), Task);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{18000}, other->room().cpuMillis);
+        m_clock->advance(HoldSettings{}.orphanGrace);
+        CPPUNIT_ASSERT(other->orphans().empty());
+    }
+
+    void claimedRunThatIsNotThereNeverRan()
+    {
+        const auto other = makeHeld();
+        other->takeOver(6);
+        other->adopt(runOf("a"), Task);
+        const auto ends = hold(*other);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::NotStarted);
+        CPPUNIT_ASSERT(other->room() == Capacity);
+    }
+
+    void answerOlderThanAStartSaysNothingOfIt()
+    {
+        const HoldOrder early = m_held->nextHold();
+        const auto report = m_executor->hold(early);
+        m_clock->advance(milliseconds(1));
+        start("a");
+        CPPUNIT_ASSERT(m_held->holdAnswered(early, *report).empty());
+        CPPUNIT_ASSERT(m_held->knows(runOf("a")));
+    }
+
+    void restartUnderTheSameIdLosesTheRuns()
+    {
+        start("a");
+        m_clock->advance(milliseconds(20));
+        m_executor->restart();
+        const auto ends = hold(*m_held);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::Lost);
+        start("b");
+        m_executor->end(runOf("b"), RunOutcome::Done);
+        m_clock->advance(milliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold(*m_held).size());
+    }
+
+    void silentExecutorGetsNoLeaseAndItsRunsLapse()
+    {
+        start("a");
+        CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
+        CPPUNIT_ASSERT(!m_held->nextHold().leaseUntil);
+        CPPUNIT_ASSERT(!m_held->start(runOf("b"), Task));
+        m_clock->advance(milliseconds(1000));
+        CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
+        m_clock->advance(milliseconds(400));
+        CPPUNIT_ASSERT(!m_executor->runs(runOf("a")));
+        const auto ends = m_held->holdUnanswered();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::Lapsed);
+    }
+
+    void afterASuspensionOnlyALaterHoldCounts()
+    {
+        const HoldOrder before = m_held->nextHold();
+        const auto report = m_executor->hold(before);
+        m_clock->advance(milliseconds(1));
+        m_held->doubt();
+        (void)m_held->holdAnswered(before, *report);
+        CPPUNIT_ASSERT(!m_held->start(runOf("a"), Task));
+        hold(*m_held);
+        CPPUNIT_ASSERT(m_held->start(runOf("a"), Task));
+    }
+
+    void oldNumberIsSuperseded()
+    {
+        start("a");
+        m_executor->end(runOf("a"), RunOutcome::Failed);
+        hold(*m_held);
+        const auto order = m_held->start(runOf("a"), Task);
+        const auto end = m_held->startAnswered(*order, m_executor->start(*order, Task));
+        CPPUNIT_ASSERT(end && end->outcome == RunOutcome::Superseded);
+    }
+
+    void drainingExecutorTakesNoStarts()
+    {
+        ExecutorRegistration registration = m_held->registration();
+        registration.isDraining = true;
+        m_held->update(registration);
+        CPPUNIT_ASSERT(!m_held->start(runOf("a"), Task));
+        CPPUNIT_ASSERT(m_held->room() == Resources{});
+    }
+
+private:
+    [[nodiscard]] std::unique_ptr<HeldExecutor> makeHeld() const
+    {
+        ExecutorRegistration registration;
+        registration.id = "e1";
+        registration.capacity = Capacity;
+        return std::make_unique<HeldExecutor>(*m_clock, HoldSettings{}, registration);
+    }
+
+    std::vector<RunEnd> hold(HeldExecutor &held)
+    {
+        const HoldOrder order = held.nextHold();
+        const auto report = m_executor->hold(order);
+        CPPUNIT_ASSERT(report.has_value());
+        return held.holdAnswered(order, *report);
+    }
+
+    void start(const std::string &task)
+    {
+        const auto order = m_held->start(runOf(task), Task);
+        CPPUNIT_ASSERT(order.has_value());
+        CPPUNIT_ASSERT(!m_held->startAnswered(*order, m_executor->start(*order, Task)));
+    }
+
+    std::unique_ptr<ManualClock> m_clock;
+    std::unique_ptr<FakeExecutor> m_executor;
+    std::unique_ptr<HeldExecutor> m_held;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HeldExecutorTest);
--- /dev/null
+++ b/tests/unit/executor/test_hosts.cpp
@@ -0,0 +1,163 @@
+#include "anvilmill/executor/fence.h"
+#include "anvilmill/executor/holderassignment.h"
+#include "anvilmill/executor/hostlisting.h"
+#include "anvilmill/executor/suspensiondetector.h"
+#include "anvilmill/manualclock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+using namespace anvilmill;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration Settle = milliseconds(1500);
+
+HostMembership membershipOf(StoreVersion revision, const std::vector<ListedHost> &hosts)
+{
+    return {revision, hosts};
+}
+
+const ListedHost A1{"a1", "a", "", false};
+const ListedHost A2{"a2", "a", "", false};
+const ListedHost B1{"b1", "b", "", false};
+
+std::string executorNamed(int number)
+{
+    return "executor-" + std::to_string(number);
+}
+
+} // namespace
+
+class HostsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HostsTest);
+    CPPUNIT_TEST(executorsStayInTheirDataCentre);
+    CPPUNIT_TEST(dataCentreWithoutHostsIsServedByOthers);
+    CPPUNIT_TEST(lostHostMovesItsExecutorsAlone);
+    CPPUNIT_TEST(leavingHostHoldsNothing);
+    CPPUNIT_TEST(fencesRiseAndDependOnTheMembership);
+    CPPUNIT_TEST(newHostCountsAtOnce);
+    CPPUNIT_TEST(missingHostCountsAsGoneOnlyLater);
+    CPPUNIT_TEST(entriesThatComeBackChangeNothing);
+    CPPUNIT_TEST(announcedLeaveCountsAtOnce);
+    CPPUNIT_TEST(suspensionShowsInTheBootClock);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void executorsStayInTheirDataCentre()
+    {
+        const HostMembership membership = membershipOf(1, {A1, A2, B1});
+        std::map<std::string, int> held;
+        for (int i = 0; i < 200; ++i)
+            ++held[*holderOf(executorNamed(i), "a", membership)];
+        CPPUNIT_ASSERT_EQUAL(0, held["b1"]);
+        CPPUNIT_ASSERT(held["a1"] > 70);
+        CPPUNIT_ASSERT(held["a2"] > 70);
+    }
+
+    void dataCentreWithoutHostsIsServedByOthers()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("b1"), *holderOf("e", "c", membershipOf(1, {B1})));
+        CPPUNIT_ASSERT(!holderOf("e", "c", membershipOf(1, {})));
+    }
+
+    void lostHostMovesItsExecutorsAlone()
+    {
+        const ListedHost a3{"a3", "a", "", false};
+        const HostMembership before = membershipOf(1, {A1, A2, a3});
+        const HostMembership after = membershipOf(2, {A1, A2});
+        for (int i = 0; i < 200; ++i) {
+            const auto holder = *holderOf(executorNamed(i), "a", before);
+            if (holder != "a3")
+                CPPUNIT_ASSERT_EQUAL(holder, *holderOf(executorNamed(i), "a", after));
+        }
+    }
+
+    void leavingHostHoldsNothing()
+    {
+        ListedHost leaving = A1;
+        leaving.isLeaving = true;
+        for (int i = 0; i < 50; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("a2"),
+                                 *holderOf(executorNamed(i), "a", membershipOf(1, {leaving, A2})));
+    }
+
+    void fencesRiseAndDependOnTheMembership()
+    {
+        FenceSequence first;
+        FenceSequence second;
+        const Fence early = first.takeOver(7);
+        CPPUNIT_ASSERT(first.raise() > early);
+        CPPUNIT_ASSERT(second.takeOver(8) > first.current());
+        const Fence raised = second.raise();
+        CPPUNIT_ASSERT(second.takeOver(8) > raised);
+    }
+
+    void newHostCountsAtOnce()
+    {
+        HostListing listing(m_clock, Settle);
+        listing.listed(membershipOf(1, {A1}));
+        CPPUNIT_ASSERT(listing.takeDue());
+        listing.listed(membershipOf(2, {A1, A2}));
+        CPPUNIT_ASSERT_EQUAL(StoreVersion{2}, listing.takeDue()->revision);
+        CPPUNIT_ASSERT(!listing.takeDue());
+    }
+
+    void missingHostCountsAsGoneOnlyLater()
+    {
+        HostListing listing(m_clock, Settle);
+        listing.listed(membershipOf(1, {A1, A2}));
+        (void)listing.takeDue();
+        listing.listed(membershipOf(2, {A1}));
+        CPPUNIT_ASSERT(!listing.takeDue());
+        CPPUNIT_ASSERT(*listing.nextDue() == m_clock.now() + Settle);
+        m_clock.advance(Settle);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listing.takeDue()->hosts.size());
+    }
+
+    void entriesThatComeBackChangeNothing()
+    {
+        HostListing listing(m_clock, Settle);
+        listing.listed(membershipOf(1, {A1, A2, B1}));
+        (void)listing.takeDue();
+        listing.listed(membershipOf(2, {}));
+        m_clock.advance(milliseconds(400));
+        listing.listed(membershipOf(4, {A1, A2}));
+        CPPUNIT_ASSERT(!listing.takeDue());
+        m_clock.advance(milliseconds(400));
+        listing.listed(membershipOf(5, {A1, A2, B1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, listing.takeDue()->hosts.size());
+    }
+
+    void announcedLeaveCountsAtOnce()
+    {
+        HostListing listing(m_clock, Settle);
+        listing.listed(membershipOf(1, {A1, A2}));
+        (void)listing.takeDue();
+        ListedHost leaving = A2;
+        leaving.isLeaving = true;
+        listing.listed(membershipOf(2, {A1, leaving}));
+        CPPUNIT_ASSERT(listing.takeDue());
+        listing.listed(membershipOf(3, {A1}));
+        CPPUNIT_ASSERT(listing.takeDue());
+    }
+
+    void suspensionShowsInTheBootClock()
+    {
+        SuspensionDetector detector(milliseconds(100));
+        const MonotonicTime start{seconds(50)};
+        CPPUNIT_ASSERT(!detector.wasSuspended(start, seconds(900)));
+        CPPUNIT_ASSERT(!detector.wasSuspended(start + seconds(2), seconds(902)));
+        CPPUNIT_ASSERT(detector.wasSuspended(start + seconds(3), seconds(906)));
+        CPPUNIT_ASSERT(!detector.wasSuspended(start + seconds(4), seconds(907)));
+    }
+
+private:
+    ManualClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostsTest);
--- /dev/null
+++ b/tests/unit/fleet/test_documents.cpp
@@ -0,0 +1,128 @@
+#include "documents.h"
+#include "fakes/temporaryfile.h"
+#include "machinesettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace anvilmill;
+using namespace anvilmill::fleet;
+using std::chrono::milliseconds;
+
+class FleetDocumentsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetDocumentsTest);
+    CPPUNIT_TEST(manifestBecomesRoutes);
+    CPPUNIT_TEST(registrationIsDecodedOnce);
+    CPPUNIT_TEST(entriesOfOtherWritersNameNoExecutor);
+    CPPUNIT_TEST(jobOfOneStepIsTaken);
+    CPPUNIT_TEST(otherShapesAreNotServed);
+    CPPUNIT_TEST(malformedJobsAreErrors);
+    CPPUNIT_TEST(settingsAreReadAndErrorsComeTogether);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void manifestBecomesRoutes()
+    {
+        const auto manifest = decodeManifest(
+                R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","timeout_ms":1500,)"
+                R"("target_duration_ms":60,"priority":1,"service":"s","max_attempts":4,)"
+                R"("stretch":1.6}],"services":[],"limits":{"max_body_bytes":1000}})");
+        CPPUNIT_ASSERT(manifest);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, manifest->routes.version());
+        const RoutePolicy &policy = *manifest->routes.find("h", "/p/1")->policy;
+        CPPUNIT_ASSERT_EQUAL(std::string("s"), policy.service);
+        CPPUNIT_ASSERT_EQUAL(4, policy.maxAttempts);
+        CPPUNIT_ASSERT(policy.timeout == milliseconds(1500));
+        CPPUNIT_ASSERT(policy.target == milliseconds(60));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, manifest->limits.bodySize);
+    }
+
+    void registrationIsDecodedOnce()
+    {
+        const auto executor = decodeRegistration(
+                "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+                       R"("slots":8,"state":"draining","capacity":{"cpu":32000,"mem_mb":65536},)"
+                       R"("labels":["a","r1-2"],"born":17,"seq":4})");
+        CPPUNIT_ASSERT(executor);
+        CPPUNIT_ASSERT_EQUAL(std::string("z"), executor->dataCentre);
+        CPPUNIT_ASSERT(executor->capacity == (Resources{32000, 65536, 0}));
+        CPPUNIT_ASSERT(executor->isDraining);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{17}, executor->incarnation);
+    }
+
+    void entriesOfOtherWritersNameNoExecutor()
+    {
+        for (const char *const text :
+             {"", "\xff\xfe", "[]", R"({"service":"s"})",
+              R"({"service":3,"address":"a","zone":"z","state":"ready","capacity":{}})",
+              R"({"service":"s","address":"a","zone":"z","state":"odd","capacity":{}})"})
+            CPPUNIT_ASSERT(!decodeRegistration("i-1", text));
+    }
+
+    void jobOfOneStepIsTaken()
+    {
+        const DecodedJob decoded =
+                decodeJob(R"({"spec":"text","best_effort":true,"steps":[{"count":3,"cpu":14000,)"
+                          R"("mem_mb":64,"estimate_ms":51}]})");
+        CPPUNIT_ASSERT(decoded.job.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decoded.job->tasks.size());
+        CPPUNIT_ASSERT(decoded.job->tasks[2].resources == (Resources{14000, 64, 0}));
+        CPPUNIT_ASSERT(decoded.job->tasks[2].estimate == milliseconds(51));
+    }
+
+    void otherShapesAreNotServed()
+    {
+        for (const char *const text :
+             {R"({"steps":[{"count":1}]})",
+              R"({"best_effort":true,"steps":[{"count":1},{"count":1,"after":[0]}]})",
+              R"({"best_effort":true,"steps":[{"count":2,"gang":true}]})",
+              R"({"best_effort":true,"persistent":true,"steps":[{"count":1}]})",
+              R"({"best_effort":true,"steps":[{"count":1,"required_label":"b"}]})"}) {
+            const DecodedJob decoded = decodeJob(text);
+            CPPUNIT_ASSERT(!decoded.job.has_value());
+            CPPUNIT_ASSERT(decoded.error.isShapeUnserved);
+        }
+    }
+
+    void malformedJobsAreErrors()
+    {
+        for (const char *const text :
+             {"", "{", "[]", R"({"best_effort":true,"steps":[{"count":0}]})",
+              R"({"best_effort":true,"steps":[{"count":-1}]})",
+              R"({"best_effort":true,"steps":[{"count":1000000000}]})",
+              R"({"best_effort":true,"steps":[{"count":1,"cpu":-5}]})"}) {
+            const DecodedJob decoded = decodeJob(text);
+            CPPUNIT_ASSERT(!decoded.job.has_value());
+            CPPUNIT_ASSERT(!decoded.error.reason.empty());
+        }
+    }
+
+    void settingsAreReadAndErrorsComeTogether()
+    {
+        const std::string good =
+                "node=front-1\nzone=z\nip=10.0.0.1\nlisten.front=10.0.0.1:80\n"
+                "listen.ready=10.0.0.1:81\ninternal_ports=7000,7010\n"
+                "platform.address=10.0.0.9:90\nbounds.hold_max_ms=1000\nbounds.grace_s=6\n"
+                "bounds.status_s=120\nbounds.drain_ms=2000\nlimits.max_fds=4100\nnew.field=x\n";
+        const tests::TemporaryFile file("good.conf", good);
+        const MachineSettingsReport report = readMachineSettings(file.path());
+        CPPUNIT_ASSERT(report.settings.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7000"), report.settings->meshAddress);
+        CPPUNIT_ASSERT(report.settings->longestLease == std::chrono::seconds(1));
+
+        const tests::TemporaryFile bad("bad.conf", "node=front-1\nbounds.grace_s=soon\n");
+        const MachineSettingsReport errors = readMachineSettings(bad.path());
+        CPPUNIT_ASSERT(!errors.settings.has_value());
+        CPPUNIT_ASSERT(errors.errors.size() > 5);
+        bool isFound = false;
+        for (const Error &error : errors.errors)
+            isFound = isFound
+                      || error.asString()
+                                 == bad.path()
+                                            + ":2: bounds.grace_s: expected a number of 0 or more, "
+                                              "found 'soon'";
+        CPPUNIT_ASSERT(isFound);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetDocumentsTest);
--- /dev/null
+++ b/tests/unit/scheduling/test_batchscheduler.cpp
@@ -0,0 +1,306 @@
+#include "fakes/fakebatchoutput.h"
+
+#include "anvilmill/manualclock.h"
+#include "anvilmill/randomsource.h"
+#include "anvilmill/scheduling/batchscheduler.h"
+#include "anvilmill/scheduling/roomview.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+using namespace anvilmill;
+using anvilmill::tests::FakeBatchOutput;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration Stale = seconds(1);
+const Resources Room{32000, 65536, 0};
+const Resources Demand{14000, 64, 0};
+
+} // namespace
+
+class BatchSchedulerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchSchedulerTest);
+    CPPUNIT_TEST(tasksStartAtOnceWhileThereIsRoom);
+    CPPUNIT_TEST(roomThatWasAskedForIsNotGivenTwice);
+    CPPUNIT_TEST(lowerPriorityNumberGoesFirst);
+    CPPUNIT_TEST(jobIsDoneWithItsLastTask);
+    CPPUNIT_TEST(failedTaskIsRetriedElsewhereUpToItsAttempts);
+    CPPUNIT_TEST(refusedStartIsNoAttempt);
+    CPPUNIT_TEST(supersededRunGetsAHigherNumber);
+    CPPUNIT_TEST(jobThatNoExecutorFitsIsRefusedAtOnce);
+    CPPUNIT_TEST(jobBehindALongQueueIsRefusedAtOnce);
+    CPPUNIT_TEST(unstartedJobIsRefusedAtItsDeadline);
+    CPPUNIT_TEST(startedJobIsBrokenAtItsDeadlineAndStopped);
+    CPPUNIT_TEST(cancelStopsWhatRuns);
+    CPPUNIT_TEST(executorThatFailsEverythingIsAvoided);
+    CPPUNIT_TEST(staleRoomIsNotCountedOn);
+    CPPUNIT_TEST(ownDataCentreGoesBeforeEquallyFastOthers);
+    CPPUNIT_TEST(fasterExecutorGoesFirst);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_clock = std::make_unique<ManualClock>();
+        m_random = std::make_unique<SeededRandom>(3);
+        m_view = std::make_unique<RoomView>(*m_clock, "a", Stale);
+        m_output = std::make_unique<FakeBatchOutput>();
+        m_scheduler = std::make_unique<BatchScheduler>(*m_clock, *m_random, *m_view, *m_output);
+        m_policy.route = "quotes";
+        m_policy.service = "desk";
+        m_policy.maxAttempts = 2;
+    }
+
+    void tasksStartAtOnceWhileThereIsRoom()
+    {
+        useExecutors(2);
+        submit(1, 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_output->starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("job1.0.0.0"), m_output->starts.front().run.task);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_output->starts.front().run.number);
+    }
+
+    void roomThatWasAskedForIsNotGivenTwice()
+    {
+        useExecutors(1);
+        submit(1, 4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
+        // The holder has reserved the room and says so: nothing is counted twice.
+        acceptAll();
+        m_view->report({"e0", {4000, 65536, 0}});
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
+        m_scheduler->runEnded({m_output->starts[0].run, RunOutcome::Done, milliseconds(50)});
+        m_view->report({"e0", {18000, 65536, 0}});
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_output->starts.size());
+    }
+
+    void lowerPriorityNumberGoesFirst()
+    {
+        useExecutors(1);
+        submit(1, 2);
+        m_policy.priority = 2;
+        submit(2, 1);
+        m_policy.priority = 0;
+        submit(3, 1);
+        freeOne();
+        CPPUNIT_ASSERT_EQUAL(JobNumber{3}, m_output->starts.back().task.job);
+    }
+
+    void jobIsDoneWithItsLastTask()
+    {
+        useExecutors(1);
+        submit(1, 2);
+        end(0, RunOutcome::Done);
+        CPPUNIT_ASSERT(m_output->ends.empty());
+        end(1, RunOutcome::Done);
+        CPPUNIT_ASSERT(m_output->ends.at(1).end == BatchEnd::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_scheduler->jobs());
+    }
+
+    void failedTaskIsRetriedElsewhereUpToItsAttempts()
+    {
+        useExecutors(3);
+        submit(1, 1);
+        const std::size_t first = m_output->starts.back().executor;
+        end(0, RunOutcome::Failed);
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
+        CPPUNIT_ASSERT(m_output->starts.back().executor != first);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_output->starts.back().run.number);
+        end(1, RunOutcome::Failed);
+        CPPUNIT_ASSERT(m_output->ends.at(1).end == BatchEnd::Failed);
+    }
+
+    void refusedStartIsNoAttempt()
+    {
+        useExecutors(3);
+        submit(1, 1);
+        for (std::size_t i = 0; i < 2; ++i) {
+            m_scheduler->startRefused(m_output->starts.back().run);
+            m_scheduler->place();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_output->starts.size());
+        CPPUNIT_ASSERT(m_output->ends.empty());
+    }
+
+    void supersededRunGetsAHigherNumber()
+    {
+        useExecutors(1);
+        submit(1, 1);
+        end(0, RunOutcome::Superseded);
+        m_scheduler->place();
+        CPPUNIT_ASSERT(m_output->starts.back().run.number > 10);
+    }
+
+    void jobThatNoExecutorFitsIsRefusedAtOnce()
+    {
+        useExecutors(2);
+        const auto refusal = m_scheduler->submit(1, jobOf(1, 1, {64000, 64, 0}));
+        CPPUNIT_ASSERT(refusal.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("tooLarge"), refusal->cause);
+    }
+
+    // Load: a burst of several times what the executors do within the callers' time.
+    void jobBehindALongQueueIsRefusedAtOnce()
+    {
+        useExecutors(1);
+        std::optional<BatchRefusal> refusal;
+        JobNumber number = 0;
+        while (!refusal && number < 1000) {
+            ++number;
+            refusal = m_scheduler->submit(number, jobOf(number, 4, Demand));
+            m_scheduler->place();
+        }
+        CPPUNIT_ASSERT(refusal.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("queueTooLong"), refusal->cause);
+        CPPUNIT_ASSERT(refusal->retryAfter > Duration{});
+        for (const TaskStart &start : m_output->starts)
+            CPPUNIT_ASSERT(start.task.job != number);
+    }
+
+    void unstartedJobIsRefusedAtItsDeadline()
+    {
+        useExecutors(1);
+        submit(1, 2);
+        submit(2, 1);
+        m_clock->advance(milliseconds(1500));
+        m_scheduler->expire();
+        CPPUNIT_ASSERT(m_output->ends.at(2).end == BatchEnd::Refused);
+    }
+
+    void startedJobIsBrokenAtItsDeadlineAndStopped()
+    {
+        useExecutors(1);
+        submit(1, 2);
+        m_clock->advance(milliseconds(1500));
+        m_scheduler->expire();
+        CPPUNIT_ASSERT(m_output->ends.at(1).end == BatchEnd::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->stops.size());
+    }
+
+    void cancelStopsWhatRuns()
+    {
+        useExecutors(1);
+        submit(1, 3);
+        m_scheduler->cancel(1);
+        CPPUNIT_ASSERT(m_output->ends.at(1).end == BatchEnd::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->stops.size());
+        m_view->report({"e0", Room});
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
+    }
+
+    void executorThatFailsEverythingIsAvoided()
+    {
+        useExecutors(4);
+        m_policy.maxAttempts = 100;
+        submit(1, 1);
+        const std::size_t bad = m_output->starts.back().executor;
+        int onBad = 0;
+        for (JobNumber job = 2; job < 60; ++job) {
+            const TaskStart start = m_output->starts.back();
+            onBad += start.executor == bad ? 1 : 0;
+            m_scheduler->runEnded({start.run,
+                                   start.executor == bad ? RunOutcome::Failed : RunOutcome::Done,
+                                   std::nullopt});
+            submit(job, 1);
+        }
+        CPPUNIT_ASSERT(onBad <= 3);
+    }
+
+    void staleRoomIsNotCountedOn()
+    {
+        useExecutors(1);
+        m_clock->advance(Stale + milliseconds(1));
+        submit(1, 1);
+        CPPUNIT_ASSERT(m_output->starts.empty());
+    }
+
+    void ownDataCentreGoesBeforeEquallyFastOthers()
+    {
+        useExecutor("far", "b");
+        useExecutor("near", "a");
+        submit(1, 1);
+        CPPUNIT_ASSERT_EQUAL(*m_view->find("near"), m_output->starts.back().executor);
+    }
+
+    void fasterExecutorGoesFirst()
+    {
+        useExecutor("near", "a");
+        useExecutor("far", "b");
+        m_view->setSpeed(*m_view->find("far"), 1.6);
+        submit(1, 1);
+        CPPUNIT_ASSERT_EQUAL(*m_view->find("far"), m_output->starts.back().executor);
+    }
+
+private:
+    void useExecutor(const std::string &id, const std::string &dataCentre)
+    {
+        ExecutorRegistration registration;
+        registration.id = id;
+        registration.service = "desk";
+        registration.dataCentre = dataCentre;
+        registration.capacity = Room;
+        m_view->update(registration);
+        m_view->report({id, Room});
+    }
+
+    void useExecutors(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            useExecutor("e" + std::to_string(i), "a");
+    }
+
+    [[nodiscard]] BatchJob jobOf(JobNumber number, std::size_t tasks, const Resources &demand)
+    {
+        BatchJob job;
+        job.id = "job" + std::to_string(number);
+        job.route = std::make_shared<const RoutePolicy>(m_policy);
+        job.spec = std::make_shared<const std::string>("spec");
+        job.tasks.assign(tasks, {demand, milliseconds(170)});
+        job.arrived = m_clock->now();
+        job.deadline = job.arrived + milliseconds(1500);
+        return job;
+    }
+
+    void submit(JobNumber number, std::size_t tasks)
+    {
+        CPPUNIT_ASSERT(!m_scheduler->submit(number, jobOf(number, tasks, Demand)));
+        m_scheduler->place();
+    }
+
+    void end(std::size_t start, RunOutcome outcome)
+    {
+        m_scheduler->startAccepted(m_output->starts[start].run);
+        m_scheduler->runEnded({m_output->starts[start].run, outcome, std::nullopt});
+    }
+
+    void acceptAll()
+    {
+        for (const TaskStart &start : m_output->starts)
+            m_scheduler->startAccepted(start.run);
+    }
+
+    void freeOne()
+    {
+        acceptAll();
+        m_view->report({"e0", {14000, 65536, 0}});
+        m_scheduler->place();
+    }
+
+    std::unique_ptr<ManualClock> m_clock;
+    std::unique_ptr<SeededRandom> m_random;
+    std::unique_ptr<RoomView> m_view;
+    std::unique_ptr<FakeBatchOutput> m_output;
+    std::unique_ptr<BatchScheduler> m_scheduler;
+    RoutePolicy m_policy;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchSchedulerTest);
--- /dev/null
+++ b/tests/unit/scheduling/test_routetable.cpp
@@ -0,0 +1,83 @@
+#include "anvilmill/platform/prefixmirror.h"
+#include "anvilmill/scheduling/routetable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace anvilmill;
+
+namespace {
+
+Route routeOf(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    RoutePolicy policy;
+    policy.route = name;
+    return {host, prefix, std::make_shared<const RoutePolicy>(policy)};
+}
+
+StoreItems itemsOf(StoreVersion revision, const std::vector<StoreItem> &items)
+{
+    return {CallOutcome::Done, items, revision, ""};
+}
+
+} // namespace
+
+class RouteTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouteTableTest);
+    CPPUNIT_TEST(longestPrefixOfTheHostWins);
+    CPPUNIT_TEST(unknownHostOrPathHasNoRoute);
+    CPPUNIT_TEST(mirrorNeverGoesBack);
+    CPPUNIT_TEST(mirrorReportsKeysThatVanishedWhileAway);
+    CPPUNIT_TEST(rewritesOfTheSameValueAreNoChange);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void longestPrefixOfTheHostWins()
+    {
+        const RouteTable table(3, {routeOf("short", "h", "/a/"), routeOf("long", "h", "/a/b/"),
+                                   routeOf("other", "i", "/a/b/c/")});
+        CPPUNIT_ASSERT_EQUAL(std::string("long"), table.find("h", "/a/b/c/1")->policy->route);
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), table.find("h", "/a/x")->policy->route);
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), table.find("i", "/a/b/c/1")->policy->route);
+    }
+
+    void unknownHostOrPathHasNoRoute()
+    {
+        const RouteTable table(3, {routeOf("short", "h", "/a/")});
+        CPPUNIT_ASSERT(!table.find("i", "/a/1"));
+        CPPUNIT_ASSERT(!table.find("h", "/b/1"));
+        CPPUNIT_ASSERT(!table.find("h", "/"));
+    }
+
+    void mirrorNeverGoesBack()
+    {
+        PrefixMirror mirror;
+        (void)mirror.takeAll(itemsOf(10, {{"k", "new", 9, false}}));
+        CPPUNIT_ASSERT(mirror.takeAll(itemsOf(8, {{"k", "old", 7, false}})).empty());
+        CPPUNIT_ASSERT(mirror.takeChanges(itemsOf(8, {{"k", "old", 7, false}})).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), mirror.items().at("k").value);
+        CPPUNIT_ASSERT_EQUAL(StoreVersion{10}, mirror.revision());
+    }
+
+    void mirrorReportsKeysThatVanishedWhileAway()
+    {
+        PrefixMirror mirror;
+        (void)mirror.takeAll(itemsOf(5, {{"a", "1", 4, false}, {"b", "1", 5, false}}));
+        const auto changes = mirror.takeAll(itemsOf(9, {{"b", "1", 5, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), changes.front().key);
+        CPPUNIT_ASSERT(changes.front().isRemoved);
+    }
+
+    void rewritesOfTheSameValueAreNoChange()
+    {
+        PrefixMirror mirror;
+        (void)mirror.takeAll(itemsOf(5, {{"a", "1", 4, false}}));
+        CPPUNIT_ASSERT(mirror.takeChanges(itemsOf(6, {{"a", "1", 6, false}})).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             mirror.takeChanges(itemsOf(7, {{"a", "", 7, true}})).size());
+        CPPUNIT_ASSERT(mirror.items().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
--- a/tools/check_generated.py
+++ b/tools/check_generated.py
@@ -7,12 +7,13 @@
 
 
 def stale_headers():
-    for schema in sorted((ROOT / "schema").glob("*.json")):
-        header = ROOT / "generated" / f"{schema.stem}.h"
+    folders = (ROOT / "schema", ROOT / "platform" / "schema")
+    for schema in sorted(path for folder in folders for path in folder.glob("*.json")):
+        header = schema.parent.parent / "generated" / f"{schema.stem}.h"
         mark = "// schema-digest: " + hashlib.sha256(schema.read_bytes()).hexdigest()
         first = header.read_text().split("\n", 1)[0] if header.exists() else ""
         if first != mark:
-            yield f"generated/{schema.stem}.h does not match schema/{schema.name}"
+            yield f"{header.relative_to(ROOT)} does not match {schema.relative_to(ROOT)}"
 
 
 if __name__ == "__main__":
--- a/tools/codegen/generate.mjs
+++ b/tools/codegen/generate.mjs
@@ -1,4 +1,5 @@
-// Generates generated/<name>.h from schema/<name>.json and records each schema's digest.
+// Generates generated/<name>.h from schema/<name>.json, and the same below platform/; records each
+// schema's digest.
 // Usage: node tools/codegen/generate.mjs [--check]
 import { createHash } from 'node:crypto';
 import { readFileSync, writeFileSync, readdirSync, existsSync } from 'node:fs';
@@ -6,8 +7,7 @@
 import { fileURLToPath } from 'node:url';
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
-const schemaFolder = join(root, 'schema');
-const outputFolder = join(root, 'generated');
+const parts = ['.', 'platform'];
 const checkOnly = process.argv.includes('--check');
 
 function digestOf(text) {
@@ -21,7 +21,9 @@
     const definitions = JSON.parse(text).definitions;
     const topLevel = Object.keys(definitions).filter(type => !definitions[type]['x-part']);
     const uris = topLevel.map(type => `#/definitions/${type}`);
-    await input.addSource({ name, schema: text, uris });
+    // A single type would get the source's name instead of its own.
+    const source = topLevel.length === 1 ? topLevel[0] : name;
+    await input.addSource({ name: source, schema: text, uris });
     const inputData = new InputData();
     inputData.addInput(input);
     const result = await quicktype({
@@ -50,21 +52,26 @@
 }
 
 const fail = [];
-for (const file of readdirSync(schemaFolder).filter(f => f.endsWith('.json')).sort()) {
-    const name = basename(file, '.json');
-    const text = readFileSync(join(schemaFolder, file), 'utf8');
-    const target = join(outputFolder, `${name}.h`);
-    const mark = `// schema-digest: ${digestOf(text)}`;
-    if (checkOnly) {
+for (const part of parts) {
+    const schemaFolder = join(root, part, 'schema');
+    const outputFolder = join(root, part, 'generated');
+    for (const file of readdirSync(schemaFolder).filter(f => f.endsWith('.json')).sort()) {
+        const name = basename(file, '.json');
+        const text = readFileSync(join(schemaFolder, file), 'utf8');
+        const target = join(outputFolder, `${name}.h`);
+        const mark = `// schema-digest: ${digestOf(text)}`;
         const found = existsSync(target) ? readFileSync(target, 'utf8').split('\n')[0] : '';
-        if (found !== mark)
-            fail.push(`generated/${name}.h does not match schema/${file}`);
-        continue;
+        if (found === mark)
+            continue;
+        if (checkOnly) {
+            fail.push(`${part}/generated/${name}.h does not match ${part}/schema/${file}`);
+            continue;
+        }
+        writeFileSync(target, `${mark}\n${await generate(name, text)}`);
+        console.log(`${part}/generated/${name}.h`);
+        if (name === 'settings')
+            writeFileSync(join(outputFolder, 'settingsschema.h'), schemaText(text));
     }
-    writeFileSync(target, `${mark}\n${await generate(name, text)}`);
-    console.log(`generated/${name}.h`);
-    if (name === 'settings')
-        writeFileSync(join(outputFolder, 'settingsschema.h'), schemaText(text));
 }
 for (const line of fail)
     console.error(line);
