Runs of a host that is not heard are stopped by their holder, and given up later

Its host went on holding an executor; the host that took the executor over outside never reached it, counted the adopted run as lapsed, and the task was started a second time while the first ran on (TWICE). Ruled out: fences (the cut-off host's was never beaten, as nobody reached the executor). Change: a holder declares nothing lapsed before the executor has seen its fence; a holder stops the runs of a host that it has not heard for 0.9 s; the job's host gives them up 2.3 s after it heard the holder last; hosts that connect anew compare their runs; connections of the mesh are given up after 0.4 s without an acknowledgement. holderThatNeverReachedTheExecutorLetsNothingLapse fails without.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -148,6 +148,9 @@
     bool holdFenced(const HoldOrder &order) noexcept;
 
     /// \brief No answer to a hold. Returns the runs whose lease has certainly lapsed since.
+    ///
+    /// None before a hold of this holder was answered: an earlier one that can reach the executor
+    /// may go on renewing its lease.
     [[nodiscard]] std::vector<RunEnd> holdUnanswered();
 
     /// \brief Runs that an earlier holder started and that have outlasted the orphan grace.
@@ -206,6 +209,8 @@
     /// When the last order that may have renewed the lease was sent.
     MonotonicTime m_leaseAsked;
     bool m_isHeld = false;
+    /// True once the executor has seen a fence of this takeover.
+    bool m_isFenceInPlace = false;
     bool m_isVerified = false;
 };
 
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <set>
 
 namespace anvilmill::daemon {
 
@@ -24,6 +25,13 @@
 constexpr Duration AllRoomInterval = std::chrono::milliseconds(250);
 /// Room that was told longer ago is not counted on: three tellings were missed.
 constexpr Duration RoomStaleAfter = std::chrono::milliseconds(900);
+/// A host that is not heard for this long is not waited for: its runs here are stopped, and the
+/// connection to it is made anew. Short of the 1.3 s after which clients come again.
+constexpr Duration SilentAfter = std::chrono::milliseconds(900);
+/// By then a holder that hears nothing has stopped our runs: it has missed what we sent for
+/// SilentAfter, which we stopped sending that long after we heard it last, and a stop takes 50 ms.
+/// One that died lets them lapse sooner.
+constexpr Duration RunsOverAfter = std::chrono::milliseconds(2300);
 /// Reading two clocks one after the other takes far less.
 constexpr Duration SuspensionTolerance = std::chrono::milliseconds(100);
 
@@ -123,7 +131,7 @@
                {[this](const RunEnd &end) { runEnded(end); }, [this] { roomChanged(); }})
     , m_mesh(loop, timers, settings.name, settings.meshAddress,
              {[this](const Frame &frame) { received(frame); },
-              [this](const std::string &host) { sendClaims(host); }})
+              [this](const std::string &host) { hostConnected(host); }})
     , m_runs(clock)
     , m_suspension(SuspensionTolerance)
 {
@@ -152,7 +160,9 @@
     m_membership = membership;
     m_mesh.setHosts(membership.hosts);
     m_holder.assign(membership, m_settings.name);
-    sendClaims("");
+    for (const ListedHost &host : membership.hosts)
+        m_heard.emplace(host.name, m_clock.now());
+    claimMoved();
 }
 
 std::string BatchHost::holderOfExecutor(std::size_t executor) const
@@ -184,8 +194,8 @@
 
 void BatchHost::startTask(const TaskStart &start)
 {
-    m_placed[start.run] = {start.executor, start.demand};
     const std::string holder = holderOfExecutor(start.executor);
+    m_placed[start.run] = {start.executor, start.demand, holder, m_clock.now()};
     if (holder == m_settings.name) {
         startHere(start);
         return;
@@ -224,9 +234,12 @@
 
 void BatchHost::stopTask(std::size_t executor, const RunId &run)
 {
-    const std::string holder = holderOfExecutor(executor);
+    const auto placed = m_placed.find(run);
+    if (placed == m_placed.end())
+        return;
+    const std::string holder = placed->second.holder;
     const std::string &id = m_view.idOf(executor);
-    m_placed.erase(run);
+    m_placed.erase(placed);
     if (holder == m_settings.name) {
         m_holder.stop(id, run);
         return;
@@ -303,6 +316,7 @@
 void BatchHost::sendAllRoom()
 {
     checkSuspension();
+    checkSilence();
     for (const RoomReport &report : m_holder.room()) {
         m_view.report(report);
         m_unsentRoom[report.executor] = report.room;
@@ -322,6 +336,7 @@
 void BatchHost::received(const Frame &frame)
 {
     checkSuspension();
+    m_heard[frame.host] = m_clock.now();
     takeReplies(frame);
     takeRoom(frame);
     takeClaims(frame);
@@ -358,7 +373,7 @@
                 && m_holder.start(start.executor, run, resourcesOf(start),
                                   std::make_shared<const std::string>((*frame.specs)[index]));
         if (isAccepted)
-            m_runs.setOwner(run, frame.host);
+            m_runs.setOwner(run, frame.host, start.executor);
         Frame *const answer = m_mesh.frameFor(frame.host);
         if (!answer)
             continue;
@@ -387,7 +402,16 @@
             continue;
         }
         if (m_holder.adopt(message.executor, run, resourcesOf(message)))
-            m_runs.setOwner(run, frame.host);
+            m_runs.setOwner(run, frame.host, message.executor);
+    }
+    if (!frame.areAllClaims.value_or(false))
+        return;
+    std::set<RunId> claimed;
+    for (const MeshClaim &message : frame.claims.value_or(std::vector<MeshClaim>()))
+        claimed.insert(runOf(message));
+    for (const auto &[run, executor] : m_runs.runsOf(frame.host)) {
+        if (claimed.count(run) == 0)
+            m_holder.stop(executor, run);
     }
 }
 
@@ -403,31 +427,91 @@
         m_view.report({message.executor, resourcesOf(message)});
 }
 
-/// Claims the runs of this host's jobs at \p host, or at all holders if it is empty.
-void BatchHost::sendClaims(const std::string &host)
+// Starts, stops and ends may have been lost with the last connection: both sides compare.
+void BatchHost::hostConnected(const std::string &host)
 {
+    Frame *const frame = m_mesh.frameFor(host);
+    if (!frame)
+        return;
+    frame->areAllClaims = true;
     for (const auto &[run, placed] : m_placed) {
-        const std::string holder = holderOfExecutor(placed.executor);
-        if (host.empty() || holder == host)
-            claim(holder, run, placed);
+        if (placed.holder == host)
+            addClaim(*frame, run, placed);
     }
 }
 
-void BatchHost::claim(const std::string &host, const RunId &run, const Placed &placed)
+/// Asks new holders to answer for the runs at executors that have changed hands.
+void BatchHost::claimMoved()
 {
-    const std::string &executor = m_view.idOf(placed.executor);
-    if (host == m_settings.name) {
-        (void)m_holder.adopt(executor, run, placed.demand);
-        return;
+    for (auto &[run, placed] : m_placed) {
+        const std::string holder = holderOfExecutor(placed.executor);
+        if (holder == placed.holder)
+            continue;
+        placed.holder = holder;
+        placed.asked = m_clock.now();
+        if (holder == m_settings.name) {
+            (void)m_holder.adopt(m_view.idOf(placed.executor), run, placed.demand);
+            continue;
+        }
+        Frame *const frame = m_mesh.frameFor(holder);
+        if (frame)
+            addClaim(*frame, run, placed);
     }
-    Frame *const frame = m_mesh.frameFor(host);
-    if (!frame)
-        return;
+}
+
+void BatchHost::addClaim(Frame &frame, const RunId &run, const Placed &placed) const
+{
     MeshClaim message;
-    message.executor = executor;
+    message.executor = m_view.idOf(placed.executor);
     setRun(message, run);
     setResources(message, placed.demand);
-    append(frame->claims, std::move(message));
+    append(frame.claims, std::move(message));
+}
+
+MonotonicTime BatchHost::lastHeard(const std::string &host) const
+{
+    const auto found = m_heard.find(host);
+    return found == m_heard.end() ? MonotonicTime() : found->second;
+}
+
+// Neither side may count on the other once they don't hear each other: a job whose host is gone
+// is sent again by its client, and a task must not run twice at a time.
+void BatchHost::checkSilence()
+{
+    const MonotonicTime now = m_clock.now();
+    for (const std::string &owner : m_runs.owners()) {
+        if (now - lastHeard(owner) < SilentAfter)
+            continue;
+        const auto runs = m_runs.runsOf(owner);
+        LogEvent("peer.silent", LogEvent::Level::Warning)
+                .with("host", owner)
+                .with("silent", now - lastHeard(owner))
+                .with("stoppedRuns", runs.size());
+        for (const auto &[run, executor] : runs)
+            m_holder.stop(executor, run);
+    }
+    for (const ListedHost &host : m_membership.hosts) {
+        if (host.name == m_settings.name || now - lastHeard(host.name) < SilentAfter)
+            continue;
+        m_mesh.redial(host.name);
+        giveUpRunsAt(host.name, lastHeard(host.name));
+    }
+}
+
+void BatchHost::giveUpRunsAt(const std::string &host, MonotonicTime lastHeard)
+{
+    std::vector<RunId> over;
+    for (const auto &[run, placed] : m_placed) {
+        if (placed.holder == host
+            && m_clock.now() - std::max(placed.asked, lastHeard) >= RunsOverAfter)
+            over.push_back(run);
+    }
+    for (const RunId &run : over) {
+        m_placed.erase(run);
+        m_scheduler.runEnded({run, RunOutcome::Lapsed, std::nullopt});
+    }
+    if (!over.empty())
+        placeSoon();
 }
 
 void BatchHost::placeSoon()
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -73,6 +73,9 @@
     {
         std::size_t executor = 0;
         Resources demand;
+        /// The host that was asked last to answer for the run, and when.
+        std::string holder;
+        MonotonicTime asked;
     };
     using Frame = wire::meshframe::MeshFrame;
 
@@ -94,8 +97,12 @@
     void takeStops(const Frame &frame);
     void takeRoom(const Frame &frame);
     void sendEnd(const std::string &host, const RunEnd &end);
-    void sendClaims(const std::string &host);
-    void claim(const std::string &host, const RunId &run, const Placed &placed);
+    void hostConnected(const std::string &host);
+    void claimMoved();
+    void addClaim(Frame &frame, const RunId &run, const Placed &placed) const;
+    void checkSilence();
+    void giveUpRunsAt(const std::string &host, MonotonicTime lastHeard);
+    [[nodiscard]] MonotonicTime lastHeard(const std::string &host) const;
     void placeSoon();
     void place();
     void checkSuspension();
@@ -113,6 +120,7 @@
     HostMembership m_membership;
     std::map<std::string, ExecutorRegistration> m_executors;
     std::map<RunId, Placed> m_placed;
+    std::map<std::string, MonotonicTime> m_heard;
     std::unordered_map<JobNumber, ResultHandler> m_handlers;
     std::map<std::string, Resources> m_unsentRoom;
     std::optional<TimerQueue::Id> m_expiryTimer;
--- a/src/daemon/batch/mesh.cpp
+++ b/src/daemon/batch/mesh.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t LargestFrame = 4U << 20U;
 /// Frames that wait for a slow connection; each holds at least one turn's messages.
 constexpr std::size_t LongestQueue = 2000;
+/// Several round trips; a connection that is lost on the way is made anew before its host counts
+/// as silent.
+constexpr auto UnacknowledgedLimit = std::chrono::milliseconds(400);
 /// Room reports come every 250 ms: a host that sends nothing for this long is taken as cut off.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
 
@@ -104,6 +107,29 @@
         return &m_frame;
     }
 
+    void broken(const std::string &reason)
+    {
+        if (m_isConnected)
+            LogEvent("peer.lost", LogEvent::Level::Warning)
+                    .with("host", m_host)
+                    .with("reason", reason)
+                    .with("queued", m_queue.size());
+        m_state->timers.cancel(m_dialTimer);
+        m_isConnected = false;
+        m_isWriting = false;
+        // Pending operations keep the socket, and its buffers here, until they are aborted.
+        m_dropped = std::move(m_queue);
+        m_queue.clear();
+        m_frame = {};
+        m_frame.host = m_state->self;
+        closeSocket();
+        m_state->timers.after(m_redial, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->dial();
+        });
+        m_redial = std::min(m_redial * 2, LongestRedial);
+    }
+
 private:
     [[nodiscard]] bool isCurrent(const std::shared_ptr<Socket> &socket) const
     {
@@ -116,7 +142,7 @@
             broken(error.message());
             return;
         }
-        setPromptDelivery(m_socket->next_layer());
+        setPromptDelivery(m_socket->next_layer(), UnacknowledgedLimit);
         m_socket->async_handshake(
                 m_address.address().to_string(), "/",
                 [self = shared_from_this(), socket = m_socket](error_code result) {
@@ -189,29 +215,6 @@
             write();
     }
 
-    void broken(const std::string &reason)
-    {
-        if (m_isConnected)
-            LogEvent("peer.lost", LogEvent::Level::Warning)
-                    .with("host", m_host)
-                    .with("reason", reason)
-                    .with("queued", m_queue.size());
-        m_state->timers.cancel(m_dialTimer);
-        m_isConnected = false;
-        m_isWriting = false;
-        // Pending operations keep the socket, and its buffers here, until they are aborted.
-        m_dropped = std::move(m_queue);
-        m_queue.clear();
-        m_frame = {};
-        m_frame.host = m_state->self;
-        closeSocket();
-        m_state->timers.after(m_redial, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->dial();
-        });
-        m_redial = std::min(m_redial * 2, LongestRedial);
-    }
-
     void closeSocket()
     {
         if (!m_socket)
@@ -291,6 +294,18 @@
         });
     }
 
+    // What an earlier connection of the host still holds is older than what it has sent since.
+    void named(const std::string &host)
+    {
+        m_host = host;
+        const auto all = m_state->inbound;
+        for (const auto &other : all) {
+            if (other.get() != this && other->m_host == host)
+                other->close();
+        }
+        m_state->events.connected(host);
+    }
+
     void received()
     {
         limitSilence();
@@ -299,8 +314,8 @@
             const auto document = nlohmann::json::from_cbor(data, data + m_buffer.size());
             MeshFrame frame;
             wire::meshframe::from_json(document, frame);
-            if (!std::exchange(m_isNamed, true))
-                m_state->events.connected(frame.host);
+            if (m_host.empty())
+                named(frame.host);
             m_state->events.received(frame);
         } catch (const nlohmann::json::exception &exception) {
             LogEvent("peer.frameUnreadable", LogEvent::Level::Warning)
@@ -318,7 +333,7 @@
     Socket m_socket;
     boost::beast::flat_buffer m_buffer;
     TimerQueue::Id m_silence;
-    bool m_isNamed = false;
+    std::string m_host;
     bool m_isClosed = false;
 };
 
@@ -397,6 +412,13 @@
     return found == m_state->links.end() ? nullptr : found->second->frame();
 }
 
+void Mesh::redial(const std::string &host)
+{
+    const auto found = m_state->links.find(host);
+    if (found != m_state->links.end() && found->second->isConnected())
+        found->second->broken("silent");
+}
+
 std::vector<std::string> Mesh::connectedHosts() const
 {
     std::vector<std::string> hosts;
--- a/src/daemon/batch/mesh.h
+++ b/src/daemon/batch/mesh.h
@@ -49,6 +49,9 @@
     /// \brief The frame that will go to \p host after this turn; nullptr if it isn't connected.
     [[nodiscard]] wire::meshframe::MeshFrame *frameFor(const std::string &host);
 
+    /// \brief Gives up the connection to \p host and makes it anew.
+    void redial(const std::string &host);
+
     /// \brief The hosts that frames can be sent to.
     [[nodiscard]] std::vector<std::string> connectedHosts() const;
 
--- a/src/daemon/batch/runbook.cpp
+++ b/src/daemon/batch/runbook.cpp
@@ -16,15 +16,33 @@
 {
 }
 
-void RunBook::setOwner(const RunId &run, const std::string &host)
+void RunBook::setOwner(const RunId &run, const std::string &host, const std::string &executor)
 {
-    m_owners[run] = host;
+    m_owners[run] = {host, executor};
+}
+
+std::vector<std::pair<RunId, std::string>> RunBook::runsOf(const std::string &host) const
+{
+    std::vector<std::pair<RunId, std::string>> runs;
+    for (const auto &[run, owner] : m_owners) {
+        if (owner.host == host)
+            runs.emplace_back(run, owner.executor);
+    }
+    return runs;
+}
+
+std::set<std::string> RunBook::owners() const
+{
+    std::set<std::string> hosts;
+    for (const auto &[run, owner] : m_owners)
+        hosts.insert(owner.host);
+    return hosts;
 }
 
 std::string RunBook::ownerOf(const RunId &run) const
 {
     const auto found = m_owners.find(run);
-    return found == m_owners.end() ? std::string() : found->second;
+    return found == m_owners.end() ? std::string() : found->second.host;
 }
 
 void RunBook::ended(const RunEnd &end)
--- a/src/daemon/batch/runbook.h
+++ b/src/daemon/batch/runbook.h
@@ -7,8 +7,10 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace anvilmill::daemon {
 
@@ -23,7 +25,14 @@
     /// Precondition: \p clock outlives the book.
     explicit RunBook(const Clock &clock);
 
-    void setOwner(const RunId &run, const std::string &host);
+    /// \brief The run on \p executor was asked for by \p host.
+    void setOwner(const RunId &run, const std::string &host, const std::string &executor);
+
+    /// \brief The runs that \p host asked for, with their executors.
+    [[nodiscard]] std::vector<std::pair<RunId, std::string>> runsOf(const std::string &host) const;
+
+    /// \brief The hosts that have asked for runs which have not ended.
+    [[nodiscard]] std::set<std::string> owners() const;
 
     /// \brief The host that asked for the run; empty if none did.
     [[nodiscard]] std::string ownerOf(const RunId &run) const;
@@ -34,8 +43,14 @@
     [[nodiscard]] std::optional<RunEnd> endOf(const RunId &run) const;
 
 private:
+    struct Owner
+    {
+        std::string host;
+        std::string executor;
+    };
+
     const Clock &m_clock;
-    std::map<RunId, std::string> m_owners;
+    std::map<RunId, Owner> m_owners;
     std::map<RunId, RunEnd> m_ends;
     std::deque<std::pair<MonotonicTime, RunId>> m_order;
 };
--- a/src/daemon/loop/httpclient.cpp
+++ b/src/daemon/loop/httpclient.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// Several round trips between data centres, and less than a caller waits.
+constexpr auto UnacknowledgedLimit = std::chrono::milliseconds(1000);
+
 struct OpenCall
 {
     HttpCall call;
@@ -99,7 +102,7 @@
             return;
         }
         m_isOpen = true;
-        setPromptDelivery(m_socket);
+        setPromptDelivery(m_socket, UnacknowledgedLimit);
         write();
         read();
     }
--- a/src/daemon/loop/httpserver.cpp
+++ b/src/daemon/loop/httpserver.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+/// Clients on phones may be out of reach for a while; longer ones come again.
+constexpr auto UnacknowledgedLimit = std::chrono::milliseconds(3000);
+
 /// Descriptors run out in bursts; accepting at once again would only spin.
 constexpr Duration AcceptPause = std::chrono::milliseconds(50);
 
@@ -67,7 +70,7 @@
         : m_state(std::move(state))
         , m_socket(std::move(socket))
     {
-        setPromptDelivery(m_socket);
+        setPromptDelivery(m_socket, UnacknowledgedLimit);
     }
 
     /// Waits for the first byte of a request.
--- a/src/daemon/loop/socketoptions.cpp
+++ b/src/daemon/loop/socketoptions.cpp
@@ -10,21 +10,14 @@
 
 namespace anvilmill::daemon {
 
-namespace {
-
-/// Several round trips between data centres, and less than a caller waits.
-constexpr unsigned UnacknowledgedLimitMillis = 1000;
-
-} // namespace
-
-void setPromptDelivery(boost::asio::ip::tcp::socket &socket)
+void setPromptDelivery(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit)
 {
+    const auto unacknowledged = static_cast<unsigned>(limit.count());
     boost::system::error_code error;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), error);
-    const bool isTimeoutSet =
-            ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                         &UnacknowledgedLimitMillis, sizeof UnacknowledgedLimitMillis)
-            == 0;
+    const bool isTimeoutSet = ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                                           &unacknowledged, sizeof unacknowledged)
+                              == 0;
     if (error || !isTimeoutSet)
         LogEvent("socket.optionRefused", LogEvent::Level::Warning)
                 .with("reason", error ? error.message() : "TCP_USER_TIMEOUT");
--- a/src/daemon/loop/socketoptions.h
+++ b/src/daemon/loop/socketoptions.h
@@ -2,11 +2,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
+
 namespace anvilmill::daemon {
 
 /// \brief Sends small messages at once, and gives the connection up when sent data stays
-/// unacknowledged: a peer behind a partition sends no reset.
-void setPromptDelivery(boost::asio::ip::tcp::socket &socket);
+/// unacknowledged for \p limit: a peer behind a partition sends no reset.
+void setPromptDelivery(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit);
 
 /// \brief True if the peer has closed or reset the connection; reads nothing.
 [[nodiscard]] bool isClosedByPeer(boost::asio::ip::tcp::socket &socket);
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -34,6 +34,7 @@
 {
     m_fences.takeOver(membership);
     m_isHeld = true;
+    m_isFenceInPlace = false;
     m_isVerified = false;
     m_leaseAsked = m_clock.now();
 }
@@ -158,6 +159,7 @@
     std::vector<RunEnd> ended;
     if (!m_isHeld)
         return ended;
+    m_isFenceInPlace = true;
     m_executorClock = report.clock;
     m_clockRead = m_clock.now();
     noteIncarnation(report);
@@ -252,7 +254,7 @@
     std::vector<RunEnd> ended;
     const auto lease =
             cast<Duration>(m_settings.longestLease * (1.0 + m_settings.largestClockDrift));
-    if (m_clock.now() < m_leaseAsked + lease + m_settings.longestTransit)
+    if (!m_isFenceInPlace || m_clock.now() < m_leaseAsked + lease + m_settings.longestTransit)
         return ended;
     while (!m_runs.empty()) {
         ended.push_back({m_runs.begin()->first, RunOutcome::Lapsed, std::nullopt});
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(answerOlderThanAStartSaysNothingOfIt);
     CPPUNIT_TEST(restartUnderTheSameIdLosesTheRuns);
     CPPUNIT_TEST(silentExecutorGetsNoLeaseAndItsRunsLapse);
+    CPPUNIT_TEST(holderThatNeverReachedTheExecutorLetsNothingLapse);
     CPPUNIT_TEST(afterASuspensionOnlyALaterHoldCounts);
     CPPUNIT_TEST(oldNumberIsSuperseded);
     CPPUNIT_TEST(drainingExecutorTakesNoStarts);
@@ -224,6 +225,22 @@
         CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::Lapsed);
     }
 
+    // lumenfold-mill trouble-3: the executor's data centre was cut off, its holder there went on
+    // renewing the lease, and the next holder outside took the run for lapsed.
+    void holderThatNeverReachedTheExecutorLetsNothingLapse()
+    {
+        start("a");
+        const auto outside = makeHeld();
+        outside->takeOver(6);
+        outside->adopt(runOf("a"), Task);
+        for (int i = 0; i < 20; ++i) {
+            m_clock->advance(milliseconds(400));
+            hold(*m_held);
+            CPPUNIT_ASSERT(outside->holdUnanswered().empty());
+        }
+        CPPUNIT_ASSERT(m_executor->runs(runOf("a")));
+    }
+
     void afterASuspensionOnlyALaterHoldCounts()
     {
         const HoldOrder before = m_held->nextHold();
