--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -2,6 +2,7 @@
 
 #include "anvilmill/clock.h"
 #include "anvilmill/executor/executorregistration.h"
+#include "anvilmill/executor/executortrust.h"
 #include "anvilmill/executor/fence.h"
 #include "anvilmill/executor/run.h"
 
@@ -105,7 +106,7 @@
     /// \brief Becomes the holder under \p membership; starts nothing until a hold is answered.
     void takeOver(StoreVersion membership);
 
-    /// \brief Lets go of the executor: its runs go on, another host holds it.
+    /// \brief Lets go of the executor: its runs go on, and are the next holder's to answer for.
     void release() noexcept;
 
     /// \brief Call after this process was suspended: leases may have lapsed meanwhile.
@@ -117,9 +118,11 @@
     /// \brief True if starts may be sent: held, verified, not draining, nothing unknown running.
     [[nodiscard]] bool mayStart() const noexcept;
 
-    /// \brief Room for starts; nothing unless mayStart().
+    /// \brief Room for starts; nothing unless mayStart() and its runs end well.
     [[nodiscard]] Resources room() const noexcept;
 
+    [[nodiscard]] const ExecutorTrust &trust() const noexcept { return m_trust; }
+
     /// \brief Reserves room for \p run; nothing if it doesn't fit or may not start.
     [[nodiscard]] std::optional<StartOrder> start(const RunId &run, const Resources &demand);
 
@@ -185,6 +188,7 @@
     using Runs = std::map<RunId, Run>;
 
     [[nodiscard]] std::optional<ExecutorTime> leaseUntil() const;
+    void noteOutcome(const RunEnd &end);
     void noteIncarnation(const HoldReport &report);
     void takeEnds(const HoldReport &report, std::vector<RunEnd> &ended);
     void takeActive(const HoldReport &report);
@@ -197,6 +201,7 @@
     HoldSettings m_settings;
     ExecutorRegistration m_registration;
     FenceSequence m_fences;
+    ExecutorTrust m_trust;
     Runs m_runs;
     Resources m_used;
     std::size_t m_foreign = 0;
--- a/include/anvilmill/platform/prefixmirror.h
+++ b/include/anvilmill/platform/prefixmirror.h
@@ -11,7 +11,8 @@
 /// \brief A copy of the store's items below one prefix, kept by reads and watches.
 ///
 /// Answers that are older than what is held change nothing, so that a slow or stale answer never
-/// takes a key back in time.
+/// takes a key back in time. A key that was written again counts as changed though its value is
+/// the same: it may have been missing in between.
 ///
 /// Thread safety: one thread at a time.
 class PrefixMirror
--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "anvilmill/clock.h"
-#include "anvilmill/dispatch/executorhealth.h"
 #include "anvilmill/dispatch/nameindex.h"
 #include "anvilmill/dispatch/runtimeestimator.h"
 #include "anvilmill/scheduling/batchjob.h"
@@ -28,7 +27,8 @@
 ///
 /// Jobs go by the priority of their route, then by arrival. A job that can't be done by its
 /// deadline is refused at once; one that becomes hopeless while it waits is refused then.
-/// Executors that fail what they start are avoided for a while, a bounded share of them at once.
+/// A task that failed is tried elsewhere. Whether an executor gets starts at all is its holder's
+/// decision, which sees all that runs there.
 ///
 /// Thread safety: one thread at a time. Methods call the output before they return.
 class BatchScheduler
@@ -124,24 +124,19 @@
     void taskDone(JobNumber number, Job &job, std::uint32_t index);
     void taskFailed(JobNumber number, Job &job, std::uint32_t index, std::size_t executor);
     void noteEnd(const Running &running, const Job &job, const RunEnd &end);
-    void noteFailure(std::size_t executor);
     void finish(JobNumber number, BatchResult result);
     [[nodiscard]] RunningTasks::node_type takeRunning(const RunId &run);
-    ExecutorHealth &healthOf(std::size_t executor);
 
     const Clock &m_clock;
     RandomSource &m_random;
     RoomView &m_view;
     BatchOutput &m_output;
-    HealthSettings m_healthSettings;
     RunTimeEstimator m_estimator;
     NameIndex m_routes;
     Jobs m_jobs;
     std::set<Position> m_queue;
     std::set<std::pair<MonotonicTime, JobNumber>> m_expiries;
     RunningTasks m_running;
-    std::vector<ExecutorHealth> m_health;
-    std::size_t m_ejected = 0;
 };
 
 } // namespace anvilmill
--- a/include/anvilmill/scheduling/roomview.h
+++ b/include/anvilmill/scheduling/roomview.h
@@ -60,18 +60,22 @@
     /// \brief Learned speed relative to an average executor.
     void setSpeed(std::size_t executor, double speed);
 
-    /// \brief No starts on the executor until \p until; for executors that fail what they start.
-    void avoid(std::size_t executor, MonotonicTime until);
-
     /// \brief The best executor with room for the demand.
     ///
     /// The fastest; among equally fast ones the own data centre's, then the tightest fit.
     [[nodiscard]] std::optional<std::size_t> bestFor(const RoomQuery &query) const;
 
-    /// \brief Cores times speed of all executors of \p service that are listed and not avoided.
+    /// \brief Cores times speed of all executors of \p service that are listed.
+    ///
+    /// Executors without a recent report count too: most have only changed their holder.
     [[nodiscard]] double capacityOf(const std::string &service) const;
+    /// \brief Thousandths of a core that are free over all executors with a recent report.
+    [[nodiscard]] std::int64_t freeCpu() const;
     [[nodiscard]] bool isServed(const std::string &service) const;
 
+    /// \brief True if any executor has a recent report, whether it has room or not.
+    [[nodiscard]] bool hasRecentReport() const;
+
     /// \brief How many executors could run \p demand if they were idle.
     [[nodiscard]] std::size_t fittingExecutors(const std::string &service,
                                                const Resources &demand) const;
@@ -87,7 +91,6 @@
         Resources room;
         Resources asked;
         MonotonicTime reported;
-        MonotonicTime avoidedUntil;
         double speed = 1.0;
         /// Executors of one class count as equally fast.
         int speedClass = 0;
@@ -95,7 +98,8 @@
         bool hasReport = false;
     };
 
-    [[nodiscard]] bool isUsable(const Entry &entry, const std::string &service) const;
+    [[nodiscard]] static bool isUsable(const Entry &entry, const std::string &service);
+    [[nodiscard]] bool isRecent(const Entry &entry) const;
     [[nodiscard]] bool offers(const Entry &entry, const RoomQuery &query) const;
     [[nodiscard]] bool isBetter(const Entry &left, const Entry &right) const;
 
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -32,6 +32,7 @@
 /// SilentAfter, which we stopped sending that long after we heard it last, and a stop takes 50 ms.
 /// One that died lets them lapse sooner.
 constexpr Duration RunsOverAfter = std::chrono::milliseconds(2300);
+constexpr Duration LoadInterval = std::chrono::seconds(1);
 /// Reading two clocks one after the other takes far less.
 constexpr Duration SuspensionTolerance = std::chrono::milliseconds(100);
 
@@ -322,9 +323,28 @@
         m_unsentRoom[report.executor] = report.room;
     }
     sendRoom();
+    if (m_clock.now() >= m_loadDue)
+        logLoad();
     m_timers.after(AllRoomInterval, [this] { sendAllRoom(); });
 }
 
+void BatchHost::logLoad()
+{
+    m_loadDue = m_clock.now() + LoadInterval;
+    Resources room;
+    for (const RoomReport &report : m_holder.room())
+        room += report.room;
+    LogEvent("host.load")
+            .with("held", m_holder.held())
+            .with("heldRuns", m_holder.runs())
+            .with("roomMillicores", room.cpuMillis)
+            .with("viewMillicores", m_view.freeCpu())
+            .with("jobs", m_scheduler.jobs())
+            .with("waiting", m_scheduler.waitingJobs())
+            .with("tasks", m_scheduler.runningTasks())
+            .with("peers", m_mesh.connectedHosts().size());
+}
+
 void BatchHost::addRoom(Frame &frame, const RoomReport &report) const
 {
     MeshRoom message;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -62,8 +62,8 @@
     }
     [[nodiscard]] std::size_t jobs() const noexcept { return m_handlers.size(); }
 
-    /// \brief True if any executor is known to have room or to be about to.
-    [[nodiscard]] bool knowsExecutors() const noexcept { return m_view.listed() > 0; }
+    /// \brief True if the holder of any executor is heard; else no job can be started.
+    [[nodiscard]] bool reachesExecutors() const { return m_view.hasRecentReport(); }
 
     /// \brief Runs of other hosts that this one answers for.
     [[nodiscard]] std::size_t heldRuns() const { return m_holder.runs(); }
@@ -89,6 +89,7 @@
     void roomChanged();
     void sendRoom();
     void sendAllRoom();
+    void logLoad();
     void addRoom(Frame &frame, const RoomReport &report) const;
     void received(const Frame &frame);
     void takeReplies(const Frame &frame);
@@ -124,6 +125,7 @@
     std::unordered_map<JobNumber, ResultHandler> m_handlers;
     std::map<std::string, Resources> m_unsentRoom;
     std::optional<TimerQueue::Id> m_expiryTimer;
+    MonotonicTime m_loadDue;
     JobNumber m_lastJob = 0;
     bool m_isPlacingDue = false;
     bool m_isRoomDue = false;
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -29,6 +29,7 @@
     HeldExecutor executor;
     /// Absent runs were ended by this host's own orders or never asked to stop.
     std::set<RunId> stopping;
+    std::optional<MonotonicTime> awaitedProbe;
     bool isHolding = false;
     bool isGone = false;
     bool isSilent = false;
@@ -123,6 +124,7 @@
             LogEvent("executor.regained").with("executor", executor.registration().id);
         entry->isSilent = false;
         emit(executor.holdAnswered(order, reply.report));
+        awaitProbe(entry);
         stopOrphans(entry);
         holdAgain(entry, {});
         break;
@@ -148,6 +150,23 @@
     noteRoom(*entry);
 }
 
+/// Room comes back with time alone when an executor is due to be tried again.
+void HolderService::awaitProbe(const std::shared_ptr<Entry> &entry)
+{
+    const auto probe = entry->executor.trust().nextProbe();
+    if (!probe || *probe <= m_clock.now() || entry->awaitedProbe == probe)
+        return;
+    entry->awaitedProbe = probe;
+    LogEvent("executor.distrusted", LogEvent::Level::Warning)
+            .with("executor", entry->executor.registration().id)
+            .with("pause", *probe - m_clock.now())
+            .with("runs", entry->executor.runs());
+    m_timers.at(*probe, [this, entry] {
+        if (!entry->isGone)
+            noteRoom(*entry);
+    });
+}
+
 void HolderService::holdAgain(const std::shared_ptr<Entry> &entry, Duration delay)
 {
     if (delay == Duration{}) {
@@ -289,8 +308,15 @@
 
 void HolderService::emit(const std::vector<RunEnd> &ends)
 {
-    for (const RunEnd &end : ends)
+    for (const RunEnd &end : ends) {
+        if (end.outcome != RunOutcome::Done && end.outcome != RunOutcome::Stopped)
+            LogEvent("run.ended")
+                    .with("task", end.run.task)
+                    .with("run", end.run.number)
+                    .with("outcome", asString(end.outcome))
+                    .with("ran", end.ran.value_or(Duration()));
         m_events.runEnded(end);
+    }
 }
 
 std::size_t HolderService::held() const
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -76,6 +76,7 @@
     void hold(const std::shared_ptr<Entry> &entry);
     void holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
                       const HoldReply &reply);
+    void awaitProbe(const std::shared_ptr<Entry> &entry);
     void holdAgain(const std::shared_ptr<Entry> &entry, Duration delay);
     void startAnswered(const std::shared_ptr<Entry> &entry, const StartOrder &order,
                        const StartReply &reply);
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -20,6 +20,7 @@
     : m_clock(clock)
     , m_settings(settings)
     , m_registration(std::move(registration))
+    , m_trust(TrustSettings())
 {
 }
 
@@ -43,6 +44,9 @@
 {
     m_isHeld = false;
     m_isVerified = false;
+    m_runs.clear();
+    m_used = {};
+    m_foreign = 0;
 }
 
 void HeldExecutor::doubt() noexcept
@@ -58,7 +62,7 @@
 
 Resources HeldExecutor::room() const noexcept
 {
-    if (!mayStart())
+    if (!mayStart() || !m_trust.mayStart(m_runs.size(), m_clock.now()))
         return {};
     Resources room = m_registration.capacity;
     room -= m_used;
@@ -67,7 +71,7 @@
 
 std::optional<StartOrder> HeldExecutor::start(const RunId &run, const Resources &demand)
 {
-    if (!mayStart() || !demand.fitsInto(room()) || m_runs.count(run) > 0)
+    if (!demand.fitsInto(room()) || !mayStart() || m_runs.count(run) > 0)
         return std::nullopt;
     m_runs.emplace(run, Run{RunState::Starting, demand, m_fences.current(), {}});
     m_used += demand;
@@ -77,17 +81,18 @@
 
 std::optional<RunEnd> HeldExecutor::startAnswered(const StartOrder &order, StartAnswer answer)
 {
-    if (answer == StartAnswer::Fenced && order.fence == m_fences.current())
-        release();
     const auto found = m_runs.find(order.run);
-    if (found == m_runs.end() || found->second.state == RunState::Foreign)
-        return std::nullopt;
     if (answer != StartAnswer::Started) {
-        remove(found);
+        if (found != m_runs.end())
+            remove(found);
+        if (answer == StartAnswer::Fenced && order.fence == m_fences.current())
+            release();
         const bool isSuperseded = answer == StartAnswer::Superseded;
         return RunEnd{order.run, isSuperseded ? RunOutcome::Superseded : RunOutcome::NotStarted,
                       std::nullopt};
     }
+    if (found == m_runs.end() || found->second.state == RunState::Foreign)
+        return std::nullopt;
     if (found->second.state == RunState::Running)
         return std::nullopt;
     found->second.state = RunState::Running;
@@ -176,6 +181,7 @@
         return;
     m_incarnation = report.incarnation;
     m_acknowledgedThrough = 0;
+    m_trust.succeeded();
 }
 
 void HeldExecutor::takeEnds(const HoldReport &report, std::vector<RunEnd> &ended)
@@ -185,6 +191,7 @@
             continue;
         m_acknowledgedThrough = listed.number;
         ended.push_back(listed.end);
+        noteOutcome(listed.end);
         const auto found = m_runs.find(listed.end.run);
         if (found == m_runs.end())
             continue;
@@ -194,6 +201,14 @@
     }
 }
 
+void HeldExecutor::noteOutcome(const RunEnd &end)
+{
+    if (end.outcome == RunOutcome::Done)
+        m_trust.succeeded();
+    else if (end.outcome == RunOutcome::Failed)
+        m_trust.failed(end.run.task.substr(0, end.run.task.find('.')), m_clock.now());
+}
+
 void HeldExecutor::takeActive(const HoldReport &report)
 {
     for (const RunId &run : report.active) {
--- a/src/lib/platform/prefixmirror.cpp
+++ b/src/lib/platform/prefixmirror.cpp
@@ -46,9 +46,8 @@
     StoreItem &held = m_items[item.key];
     if (held.revision >= item.revision)
         return false;
-    const bool isChanged = held.revision == NoVersion || held.value != item.value;
     held = item;
-    return isChanged;
+    return true;
 }
 
 } // namespace anvilmill
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -281,17 +281,7 @@
 
 void BatchScheduler::noteEnd(const Running &running, const Job &job, const RunEnd &end)
 {
-    if (end.outcome == RunOutcome::Failed || end.outcome == RunOutcome::Lost
-        || end.outcome == RunOutcome::Lapsed) {
-        noteFailure(running.executor);
-        return;
-    }
-    if (end.outcome != RunOutcome::Done)
-        return;
-    ExecutorHealth &health = healthOf(running.executor);
-    m_ejected -= health.isEjected() ? 1 : 0;
-    health.succeeded();
-    if (!end.ran)
+    if (end.outcome != RunOutcome::Done || !end.ran)
         return;
     const Duration declared = job.job.tasks[running.task.index].estimate;
     m_estimator.record(job.routeIndex, running.executor, *end.ran,
@@ -299,28 +289,6 @@
     m_view.setSpeed(running.executor, m_estimator.speed(running.executor));
 }
 
-void BatchScheduler::noteFailure(std::size_t executor)
-{
-    ExecutorHealth &health = healthOf(executor);
-    if (!health.failed())
-        return;
-    const bool isNew = !health.isEjected();
-    const auto allowed = std::max(1.0, m_healthSettings.largestEjectedShare
-                                               * static_cast<double>(m_view.listed()));
-    if (isNew && static_cast<double>(m_ejected + 1) > allowed)
-        return;
-    m_ejected += isNew ? 1 : 0;
-    health.eject(m_clock.now(), m_random);
-    m_view.avoid(executor, health.probeAt());
-}
-
-ExecutorHealth &BatchScheduler::healthOf(std::size_t executor)
-{
-    while (m_health.size() <= executor)
-        m_health.emplace_back(m_healthSettings);
-    return m_health[executor];
-}
-
 void BatchScheduler::taskDone(JobNumber number, Job &job, std::uint32_t index)
 {
     job.tasks[index].isDone = true;
--- a/src/lib/scheduling/roomview.cpp
+++ b/src/lib/scheduling/roomview.cpp
@@ -78,11 +78,6 @@
     m_entries[executor].speedClass = speedClassOf(speed);
 }
 
-void RoomView::avoid(std::size_t executor, MonotonicTime until)
-{
-    m_entries[executor].avoidedUntil = until;
-}
-
 std::optional<std::size_t> RoomView::bestFor(const RoomQuery &query) const
 {
     std::optional<std::size_t> best;
@@ -99,16 +94,26 @@
     return best;
 }
 
-bool RoomView::isUsable(const Entry &entry, const std::string &service) const
+bool RoomView::isUsable(const Entry &entry, const std::string &service)
+{
+    return entry.isListed && !entry.registration.isDraining
+           && entry.registration.service == service;
+}
+
+bool RoomView::isRecent(const Entry &entry) const
+{
+    return entry.hasReport && m_clock.now() - entry.reported <= m_staleAfter;
+}
+
+bool RoomView::hasRecentReport() const
 {
-    return entry.isListed && !entry.registration.isDraining && entry.registration.service == service
-           && entry.avoidedUntil <= m_clock.now();
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [&](const Entry &entry) { return entry.isListed && isRecent(entry); });
 }
 
 bool RoomView::offers(const Entry &entry, const RoomQuery &query) const
 {
-    if (!entry.hasReport || m_clock.now() - entry.reported > m_staleAfter
-        || !isUsable(entry, query.service))
+    if (!isRecent(entry) || !isUsable(entry, query.service))
         return false;
     Resources room = entry.room;
     room -= entry.asked;
@@ -139,10 +144,21 @@
     return cores;
 }
 
+std::int64_t RoomView::freeCpu() const
+{
+    std::int64_t free = 0;
+    for (const Entry &entry : m_entries) {
+        if (entry.isListed && isRecent(entry))
+            free += entry.room.cpuMillis - entry.asked.cpuMillis;
+    }
+    return free;
+}
+
 bool RoomView::isServed(const std::string &service) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(),
-                       [&](const Entry &entry) { return isUsable(entry, service); });
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
+        return isRecent(entry) && isUsable(entry, service);
+    });
 }
 
 std::size_t RoomView::fittingExecutors(const std::string &service, const Resources &demand) const
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(startWhoseAnswerWasLostIsAdopted);
     CPPUNIT_TEST(ownRaisedFenceDoesNotLoseTheExecutor);
     CPPUNIT_TEST(higherFenceOfAnotherHolderEndsTheHold);
+    CPPUNIT_TEST(startThatMeetsAHigherFenceNeverRan);
     CPPUNIT_TEST(runsOfAnEarlierHolderBlockStartsAndBecomeOrphans);
     CPPUNIT_TEST(claimedRunOfAnEarlierHolderCountsWithItsDemand);
     CPPUNIT_TEST(claimedRunThatIsNotThereNeverRan);
@@ -43,6 +44,9 @@
     CPPUNIT_TEST(holderThatNeverReachedTheExecutorLetsNothingLapse);
     CPPUNIT_TEST(afterASuspensionOnlyALaterHoldCounts);
     CPPUNIT_TEST(oldNumberIsSuperseded);
+    CPPUNIT_TEST(executorThatFailsEverythingGetsFewProbes);
+    CPPUNIT_TEST(executorThatRecoversIsUsedWithinItsLongestPause);
+    CPPUNIT_TEST(jobThatFailsEverywhereDistrustsNobody);
     CPPUNIT_TEST(drainingExecutorTakesNoStarts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -146,6 +150,18 @@
         CPPUNIT_ASSERT(m_held->holdFenced(order));
         CPPUNIT_ASSERT(!m_held->isHeld());
         CPPUNIT_ASSERT(!m_held->start(runOf("a"), Task));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_held->runs());
+    }
+
+    void startThatMeetsAHigherFenceNeverRan()
+    {
+        const auto other = makeHeld();
+        other->takeOver(6);
+        hold(*other);
+        const auto order = m_held->start(runOf("a"), Task);
+        const auto end = m_held->startAnswered(*order, m_executor->start(*order, Task));
+        CPPUNIT_ASSERT(end && end->outcome == RunOutcome::NotStarted);
+        CPPUNIT_ASSERT(!m_held->isHeld());
     }
 
     void runsOfAnEarlierHolderBlockStartsAndBecomeOrphans()
@@ -263,6 +279,40 @@
         CPPUNIT_ASSERT(end && end->outcome == RunOutcome::Superseded);
     }
 
+    // Load: starts that come whenever there is room, on an executor that fails each at once, as on
+    // lumenfold-mill scale-2. Three starts before it is distrusted, then probes at 150, 300, 600,
+    // 1200 and each 1500 ms.
+    void executorThatFailsEverythingGetsFewProbes()
+    {
+        const int starts = failFor(std::chrono::seconds(10), 0);
+        CPPUNIT_ASSERT(starts >= 4);
+        CPPUNIT_ASSERT(starts <= 13);
+    }
+
+    void executorThatRecoversIsUsedWithinItsLongestPause()
+    {
+        failFor(std::chrono::seconds(6), 0);
+        m_clock->advance(TrustSettings{}.longestPause);
+        hold(*m_held);
+        start("probe");
+        CPPUNIT_ASSERT(!m_held->start(runOf("second"), Task));
+        m_executor->end(runOf("probe"), RunOutcome::Done);
+        hold(*m_held);
+        CPPUNIT_ASSERT(m_held->room() == Capacity);
+    }
+
+    // Load: one run in five is of a job that fails wherever it runs.
+    void jobThatFailsEverywhereDistrustsNobody()
+    {
+        for (int i = 0; i < 100; ++i) {
+            const std::string task = "job" + std::to_string(i) + ".0.0.0";
+            start(task);
+            m_executor->end(runOf(task), i % 5 == 0 ? RunOutcome::Failed : RunOutcome::Done);
+            hold(*m_held);
+            CPPUNIT_ASSERT(!m_held->trust().isDistrusted());
+        }
+    }
+
     void drainingExecutorTakesNoStarts()
     {
         ExecutorRegistration registration = m_held->registration();
@@ -281,6 +331,22 @@
         return std::make_unique<HeldExecutor>(*m_clock, HoldSettings{}, registration);
     }
 
+    /// Starts whatever there is room for, each run failing at once; returns how many there were.
+    int failFor(Duration time, int starts)
+    {
+        for (Duration passed{}; passed < time; passed += milliseconds(10)) {
+            const std::string task = "bad" + std::to_string(starts) + ".0.0.0";
+            if (const auto order = m_held->start(runOf(task), Task)) {
+                ++starts;
+                (void)m_held->startAnswered(*order, m_executor->start(*order, Task));
+                m_executor->end(runOf(task), RunOutcome::Failed);
+            }
+            m_clock->advance(milliseconds(10));
+            hold(*m_held);
+        }
+        return starts;
+    }
+
     std::vector<RunEnd> hold(HeldExecutor &held)
     {
         const HoldOrder order = held.nextHold();
