--- a/include/anvilmill/scheduling/roomview.h
+++ b/include/anvilmill/scheduling/roomview.h
@@ -57,6 +57,9 @@
     /// \brief The holder had no room: nothing is free until its next report.
     void refused(std::size_t executor);
 
+    /// \brief Whether executors of the own data centre go before faster ones elsewhere.
+    void setOwnDataCentreFirst(bool isFirst) noexcept { m_isOwnFirst = isFirst; }
+
     /// \brief Learned speed relative to an average executor.
     void setSpeed(std::size_t executor, double speed);
 
@@ -109,6 +112,7 @@
     std::vector<Entry> m_entries;
     std::unordered_map<std::string, std::size_t> m_indexes;
     std::size_t m_listed = 0;
+    bool m_isOwnFirst = false;
 };
 
 } // namespace anvilmill
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -12,7 +12,6 @@
 using wire::meshframe::MeshClaim;
 using wire::meshframe::MeshEnd;
 using wire::meshframe::MeshReply;
-using wire::meshframe::MeshRoom;
 using wire::meshframe::MeshRun;
 using wire::meshframe::MeshStart;
 using wire::meshframe::Outcome;
@@ -35,6 +34,9 @@
 /// SilentAfter, which we stopped sending that long after we heard it last, and a stop takes 50 ms.
 /// One that died lets them lapse sooner.
 constexpr Duration RunsOverAfter = std::chrono::milliseconds(2300);
+/// Hosts that hear of room as it changes; each costs a frame for each of them. A data centre with
+/// as many has room enough of its own in most moments.
+constexpr std::size_t MostNearHosts = 8;
 constexpr Duration LoadInterval = std::chrono::seconds(1);
 /// Reading two clocks one after the other takes far less.
 constexpr Duration SuspensionTolerance = std::chrono::milliseconds(100);
@@ -114,6 +116,16 @@
     list->push_back(std::move(message));
 }
 
+/// Numbers for each executor in a frame's room.
+constexpr std::size_t RoomParts = 3;
+
+void addRoom(wire::meshframe::MeshFrame &frame, const std::string &executor, const Resources &room)
+{
+    append(frame.roomExecutors, executor);
+    for (const std::int64_t part : {room.cpuMillis, room.memoryMb, room.gpus})
+        append(frame.room, part);
+}
+
 /// Index of \p spec among the frame's; the tasks of one job come one after the other.
 std::int64_t specIndex(wire::meshframe::MeshFrame &frame, const std::string &spec)
 {
@@ -166,9 +178,24 @@
     m_holder.assign(membership, m_settings.name);
     for (const ListedHost &host : membership.hosts)
         m_heard.emplace(host.name, m_clock.now());
+    chooseNearHosts();
     claimMoved();
 }
 
+// All hosts while they are few, else those of the own data centre: then its executors go first,
+// since what is known of the others is older.
+void BatchHost::chooseNearHosts()
+{
+    m_nearHosts.clear();
+    const bool isSmall = m_membership.hosts.size() <= MostNearHosts + 1;
+    for (const ListedHost &host : m_membership.hosts) {
+        const bool isNear = isSmall || host.dataCentre == m_settings.dataCentre;
+        if (isNear && host.name != m_settings.name)
+            m_nearHosts.push_back(host.name);
+    }
+    m_view.setOwnDataCentreFirst(!isSmall);
+}
+
 std::string BatchHost::holderOfExecutor(std::size_t executor) const
 {
     const auto found = m_executors.find(m_view.idOf(executor));
@@ -316,25 +343,32 @@
 void BatchHost::sendRoomToWaiting()
 {
     m_isUrgentRoomDue = false;
-    for (const std::string &host : m_waitingHosts) {
-        if (Frame *const frame = m_mesh.frameFor(host))
-            addRooms(*frame, m_urgentRoom);
+    std::vector<std::string> hosts;
+    for (const std::string &host : m_nearHosts) {
+        if (m_waitingHosts.count(host) > 0)
+            hosts.push_back(host);
     }
+    sendRoom(m_urgentRoom, hosts);
     m_urgentRoom.clear();
 }
 
 void BatchHost::sendRoom()
 {
     m_isRoomDue = false;
-    for (const std::string &host : m_mesh.connectedHosts())
-        addRooms(*m_mesh.frameFor(host), m_unsentRoom);
+    sendRoom(m_unsentRoom, m_nearHosts);
     m_unsentRoom.clear();
 }
 
-void BatchHost::addRooms(Frame &frame, const std::map<std::string, Resources> &rooms) const
+void BatchHost::sendRoom(const std::map<std::string, Resources> &rooms,
+                         const std::vector<std::string> &hosts)
 {
+    if (hosts.empty())
+        return;
+    Frame frame;
+    frame.host = m_settings.name;
     for (const auto &[executor, room] : rooms)
-        addRoom(frame, {executor, room});
+        addRoom(frame, executor, room);
+    m_mesh.send(frame, hosts);
 }
 
 /// Holders tell room at once to hosts whose jobs wait for it, and now and then to the others.
@@ -352,16 +386,17 @@
 {
     checkSuspension();
     checkSilence();
+    std::map<std::string, Resources> rooms;
     for (const RoomReport &report : m_holder.room()) {
         m_view.report(report);
-        m_unsentRoom[report.executor] = report.room;
+        rooms[report.executor] = report.room;
     }
     if (m_hasToldWaiting) {
         // A host that was not connected has not heard it.
         m_hasToldWaiting = false;
         tellWaiting();
     }
-    sendRoom();
+    sendRoom(rooms, m_mesh.connectedHosts());
     if (m_clock.now() >= m_loadDue)
         logLoad();
     m_timers.after(AllRoomInterval, [this] { sendAllRoom(); });
@@ -384,14 +419,6 @@
             .with("peers", m_mesh.connectedHosts().size());
 }
 
-void BatchHost::addRoom(Frame &frame, const RoomReport &report) const
-{
-    MeshRoom message;
-    message.executor = report.executor;
-    setResources(message, report.room);
-    append(frame.rooms, std::move(message));
-}
-
 void BatchHost::received(const Frame &frame)
 {
     checkSuspension();
@@ -448,7 +475,7 @@
         collectRoom();
         const auto room = m_unsentRoom.find(start.executor);
         if (room != m_unsentRoom.end())
-            addRoom(*answer, {room->first, room->second});
+            addRoom(*answer, room->first, room->second);
     }
 }
 
@@ -483,8 +510,14 @@
 
 void BatchHost::takeRoom(const Frame &frame)
 {
-    for (const MeshRoom &message : frame.rooms.value_or(std::vector<MeshRoom>()))
-        m_view.report({message.executor, resourcesOf(message)});
+    if (!frame.room || !frame.roomExecutors)
+        return;
+    const std::vector<std::int64_t> &room = *frame.room;
+    const std::vector<std::string> &executors = *frame.roomExecutors;
+    for (std::size_t i = 0; i < executors.size() && (i + 1) * RoomParts <= room.size(); ++i) {
+        const std::int64_t *const parts = &room[i * RoomParts];
+        m_view.report({executors[i], {parts[0], parts[1], parts[2]}});
+    }
 }
 
 // Starts, stops and ends may have been lost with the last connection: both sides compare.
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -84,6 +84,7 @@
     void stopTask(std::size_t executor, const RunId &run) override;
     void jobEnded(JobNumber job, const BatchResult &result) override;
 
+    void chooseNearHosts();
     [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
     void startHere(const TaskStart &start);
     void runEnded(const RunEnd &end);
@@ -92,10 +93,10 @@
     void sendRoomToWaiting();
     void sendRoom();
     void tellWaiting();
-    void addRooms(Frame &frame, const std::map<std::string, Resources> &rooms) const;
+    void sendRoom(const std::map<std::string, Resources> &rooms,
+                  const std::vector<std::string> &hosts);
     void sendAllRoom();
     void logLoad();
-    void addRoom(Frame &frame, const RoomReport &report) const;
     void received(const Frame &frame);
     void takeReplies(const Frame &frame);
     void takeStarts(const Frame &frame);
@@ -133,6 +134,8 @@
     std::map<std::string, Resources> m_urgentRoom;
     /// Hosts whose jobs wait for room.
     std::set<std::string> m_waitingHosts;
+    /// Hosts that hear of room as it changes.
+    std::vector<std::string> m_nearHosts;
     std::optional<TimerQueue::Id> m_expiryTimer;
     MonotonicTime m_loadDue;
     JobNumber m_lastJob = 0;
--- a/src/daemon/batch/mesh.cpp
+++ b/src/daemon/batch/mesh.cpp
@@ -36,11 +36,14 @@
 /// Room reports come every 250 ms: a host that sends nothing for this long is taken as cut off.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
 
-std::vector<std::uint8_t> encoded(const MeshFrame &frame)
+/// Shared by the queues of all hosts that get the frame.
+using EncodedFrame = std::shared_ptr<const std::vector<std::uint8_t>>;
+
+EncodedFrame encoded(const MeshFrame &frame)
 {
     nlohmann::json document;
     wire::meshframe::to_json(document, frame);
-    return nlohmann::json::to_cbor(document);
+    return std::make_shared<const std::vector<std::uint8_t>>(nlohmann::json::to_cbor(document));
 }
 
 } // namespace
@@ -130,6 +133,17 @@
         m_redial = std::min(m_redial * 2, LongestRedial);
     }
 
+    void enqueue(EncodedFrame frame)
+    {
+        if (!m_isConnected)
+            return;
+        m_queue.push_back(std::move(frame));
+        if (m_queue.size() > LongestQueue)
+            broken("connection too slow");
+        else if (!m_isWriting)
+            write();
+    }
+
 private:
     [[nodiscard]] bool isCurrent(const std::shared_ptr<Socket> &socket) const
     {
@@ -184,18 +198,14 @@
         std::swap(frame, m_frame);
         if (!m_isConnected)
             return;
-        m_queue.push_back(encoded(frame));
-        if (m_queue.size() > LongestQueue)
-            broken("connection too slow");
-        else if (!m_isWriting)
-            write();
+        enqueue(encoded(frame));
     }
 
     void write()
     {
         m_isWriting = true;
         m_socket->async_write(
-                boost::asio::buffer(m_queue.front()),
+                boost::asio::buffer(*m_queue.front()),
                 [self = shared_from_this(), socket = m_socket](error_code error, std::size_t) {
                     if (self->isCurrent(socket))
                         self->written(error);
@@ -229,8 +239,8 @@
     tcp::endpoint m_address;
     std::shared_ptr<Socket> m_socket;
     boost::beast::flat_buffer m_ignored;
-    std::deque<std::vector<std::uint8_t>> m_queue;
-    std::deque<std::vector<std::uint8_t>> m_dropped;
+    std::deque<EncodedFrame> m_queue;
+    std::deque<EncodedFrame> m_dropped;
     MeshFrame m_frame;
     Duration m_redial = FirstRedial;
     TimerQueue::Id m_dialTimer;
@@ -412,6 +422,16 @@
     return found == m_state->links.end() ? nullptr : found->second->frame();
 }
 
+void Mesh::send(const MeshFrame &frame, const std::vector<std::string> &hosts)
+{
+    const EncodedFrame bytes = encoded(frame);
+    for (const std::string &host : hosts) {
+        const auto found = m_state->links.find(host);
+        if (found != m_state->links.end())
+            found->second->enqueue(bytes);
+    }
+}
+
 void Mesh::redial(const std::string &host)
 {
     const auto found = m_state->links.find(host);
--- a/src/daemon/batch/mesh.h
+++ b/src/daemon/batch/mesh.h
@@ -49,6 +49,9 @@
     /// \brief The frame that will go to \p host after this turn; nullptr if it isn't connected.
     [[nodiscard]] wire::meshframe::MeshFrame *frameFor(const std::string &host);
 
+    /// \brief Sends one frame to several hosts, encoded once; those not connected are left out.
+    void send(const wire::meshframe::MeshFrame &frame, const std::vector<std::string> &hosts);
+
     /// \brief Gives up the connection to \p host and makes it anew.
     void redial(const std::string &host);
 
--- a/src/lib/scheduling/roomview.cpp
+++ b/src/lib/scheduling/roomview.cpp
@@ -122,10 +122,12 @@
 
 bool RoomView::isBetter(const Entry &left, const Entry &right) const
 {
-    if (left.speedClass != right.speedClass)
-        return left.speedClass > right.speedClass;
     const bool isLeftLocal = left.registration.dataCentre == m_dataCentre;
     const bool isRightLocal = right.registration.dataCentre == m_dataCentre;
+    if (m_isOwnFirst && isLeftLocal != isRightLocal)
+        return isLeftLocal;
+    if (left.speedClass != right.speedClass)
+        return left.speedClass > right.speedClass;
     if (isLeftLocal != isRightLocal)
         return isLeftLocal;
     return left.room.cpuMillis - left.asked.cpuMillis
--- a/tests/unit/scheduling/test_batchscheduler.cpp
+++ b/tests/unit/scheduling/test_batchscheduler.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(jobWithoutAReachableExecutorIsRefusedAtOnce);
     CPPUNIT_TEST(ownDataCentreGoesBeforeEquallyFastOthers);
     CPPUNIT_TEST(fasterExecutorGoesFirst);
+    CPPUNIT_TEST(ownDataCentreMayGoBeforeFasterOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +235,17 @@
         CPPUNIT_ASSERT_EQUAL(*m_view->find("far"), m_output->starts.back().executor);
     }
 
+    void ownDataCentreMayGoBeforeFasterOthers()
+    {
+        useExecutor("near", "a");
+        useExecutor("far", "b");
+        m_view->setSpeed(*m_view->find("far"), 1.6);
+        m_view->setOwnDataCentreFirst(true);
+        submit(1, 3);
+        CPPUNIT_ASSERT_EQUAL(*m_view->find("near"), m_output->starts.front().executor);
+        CPPUNIT_ASSERT_EQUAL(*m_view->find("far"), m_output->starts.back().executor);
+    }
+
 private:
     void useExecutor(const std::string &id, const std::string &dataCentre)
     {
