Metrics of the batch path, timers that end with their owner, two hosts tested over loopback

Cause: an on-call engineer has logs and metrics alone; and a destroyed host was called by its timers (heap corruption, found by the new system test; not reachable in the program, whose host lives as long as its process).

--- a/include/anvilmill/scheduling/batchjob.h
+++ b/include/anvilmill/scheduling/batchjob.h
@@ -75,7 +75,11 @@
     /// Refused: when the caller may come again.
     Duration retryAfter{};
     int runs = 0;
+    /// From arrival to the first start, or to the end if there was none.
     Duration waited{};
+    /// The executor that the job waited for last: of a run that is open, else of the last to end.
+    std::string lastExecutor;
+    Duration lastRan{};
 };
 
 /// \brief An order to start one task of a batch job.
--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -88,6 +88,8 @@
         /// Cores times time that the unstarted tasks need on an average executor.
         double queuedWork = 0.0;
         MonotonicTime firstStart;
+        std::size_t lastExecutor = 0;
+        Duration lastRan{};
         MonotonicTime expiry;
     };
     struct Position
@@ -123,7 +125,7 @@
     void expireJob(JobNumber number, Job &job);
     void taskDone(JobNumber number, Job &job, std::uint32_t index);
     void taskFailed(JobNumber number, Job &job, std::uint32_t index, std::size_t executor);
-    void noteEnd(const Running &running, const Job &job, const RunEnd &end);
+    void noteEnd(const Running &running, Job &job, const RunEnd &end);
     void finish(JobNumber number, BatchResult result);
     [[nodiscard]] RunningTasks::node_type takeRunning(const RunId &run);
 
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -137,19 +137,21 @@
 } // namespace
 
 BatchHost::BatchHost(boost::asio::io_context &loop, TimerQueue &timers, const Clock &clock,
-                     RandomSource &random, ExecutorCalls &calls, const BatchHostSettings &settings)
-    : m_timers(timers)
-    , m_clock(clock)
+                     RandomSource &random, ExecutorCalls &calls, BatchMetrics &metrics,
+                     const BatchHostSettings &settings)
+    : m_clock(clock)
+    , m_metrics(metrics)
     , m_settings(settings)
     , m_view(clock, settings.dataCentre, RoomStaleAfter)
     , m_scheduler(clock, random, m_view, *this)
-    , m_holder(clock, timers, calls, settings.hold,
+    , m_holder(clock, timers, calls, metrics, settings.hold,
                {[this](const RunEnd &end) { runEnded(end); }, [this] { roomChanged(); }})
     , m_mesh(loop, timers, settings.name, settings.meshAddress,
              {[this](const Frame &frame) { received(frame); },
               [this](const std::string &host) { hostConnected(host); }})
     , m_runs(clock)
     , m_suspension(SuspensionTolerance)
+    , m_timers(timers)
 {
     sendAllRoom();
 }
@@ -209,7 +211,7 @@
     checkSuspension();
     const JobNumber number = ++m_lastJob;
     if (const auto refusal = m_scheduler.submit(number, std::move(job))) {
-        handler({BatchEnd::Refused, refusal->cause, refusal->retryAfter, 0, {}});
+        handler({BatchEnd::Refused, refusal->cause, refusal->retryAfter, 0, {}, "", {}});
         return std::nullopt;
     }
     m_handlers.emplace(number, std::move(handler));
@@ -402,6 +404,18 @@
     m_timers.after(AllRoomInterval, [this] { sendAllRoom(); });
 }
 
+void BatchHost::updateGauges()
+{
+    m_metrics.setGauge("anvilmill_executors_held", static_cast<double>(m_holder.held()));
+    m_metrics.setGauge("anvilmill_runs_held", static_cast<double>(m_holder.runs()));
+    m_metrics.setGauge("anvilmill_room_millicores", static_cast<double>(m_view.freeCpu()));
+    m_metrics.setGauge("anvilmill_jobs_open", static_cast<double>(m_scheduler.jobs()));
+    m_metrics.setGauge("anvilmill_jobs_waiting", static_cast<double>(m_scheduler.waitingJobs()));
+    m_metrics.setGauge("anvilmill_tasks_running", static_cast<double>(m_scheduler.runningTasks()));
+    m_metrics.setGauge("anvilmill_peers_connected",
+                       static_cast<double>(m_mesh.connectedHosts().size()));
+}
+
 void BatchHost::logLoad()
 {
     m_loadDue = m_clock.now() + LoadInterval;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -7,7 +7,7 @@
 #include "batch/holderservice.h"
 #include "batch/mesh.h"
 #include "batch/runbook.h"
-#include "loop/timerqueue.h"
+#include "loop/timerscope.h"
 
 #include <functional>
 #include <map>
@@ -41,7 +41,8 @@
 
     /// Precondition: the references outlive the host.
     BatchHost(boost::asio::io_context &loop, TimerQueue &timers, const Clock &clock,
-              RandomSource &random, ExecutorCalls &calls, const BatchHostSettings &settings);
+              RandomSource &random, ExecutorCalls &calls, BatchMetrics &metrics,
+              const BatchHostSettings &settings);
     ~BatchHost() override;
 
     void updateExecutor(const ExecutorRegistration &registration);
@@ -66,6 +67,9 @@
     /// \brief True if the holder of any executor is heard; else no job can be started.
     [[nodiscard]] bool reachesExecutors() const { return m_view.hasRecentReport(); }
 
+    /// \brief Brings the gauges up to date.
+    void updateGauges();
+
     /// \brief Runs of other hosts that this one answers for.
     [[nodiscard]] std::size_t heldRuns() const { return m_holder.runs(); }
 
@@ -115,8 +119,8 @@
     void checkSuspension();
     void armExpiry();
 
-    TimerQueue &m_timers;
     const Clock &m_clock;
+    BatchMetrics &m_metrics;
     BatchHostSettings m_settings;
     RoomView m_view;
     BatchScheduler m_scheduler;
@@ -143,6 +147,7 @@
     bool m_isRoomDue = false;
     bool m_isUrgentRoomDue = false;
     bool m_hasToldWaiting = false;
+    TimerScope m_timers;
 };
 
 } // namespace anvilmill::daemon
--- a/src/daemon/batch/batchjobs.cpp
+++ b/src/daemon/batch/batchjobs.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// 60 lines of 350 bytes: 21 KB/s and about a millisecond of processor time.
+constexpr std::size_t CompletedLinesPerSecond = 60;
 /// About 100 bytes each: 10 MB at most.
 constexpr std::size_t MostEndsKept = 100000;
 
@@ -28,9 +30,11 @@
 
 } // namespace
 
-BatchJobs::BatchJobs(BatchHost &host, const Clock &clock, Duration statusKept)
+BatchJobs::BatchJobs(BatchHost &host, const Clock &clock, BatchMetrics &metrics,
+                     Duration statusKept)
     : m_host(host)
     , m_clock(clock)
+    , m_metrics(metrics)
     , m_statusKept(statusKept)
 {
 }
@@ -101,13 +105,33 @@
     const Active job = std::move(found->second);
     m_active.erase(found);
     remember(id, result.end);
-    logEnd(id, job, result);
+    if (isLogged(result))
+        logEnd(id, job, result);
+    m_metrics.jobEnded(job.route, asString(result.end), result.cause, m_clock.now() - job.arrived,
+                       result.waited);
     for (const auto &[waiter, handler] : job.waiters) {
         m_waiters.erase(waiter);
         handler(result);
     }
 }
 
+// Jobs that were not completed always get their line; the others share a budget.
+bool BatchJobs::isLogged(const BatchResult &result)
+{
+    const MonotonicTime now = m_clock.now();
+    if (now - m_logSecond >= std::chrono::seconds(1)) {
+        if (m_linesOmitted > 0)
+            LogEvent("job.linesOmitted").with("completed", m_linesOmitted);
+        m_logSecond = now;
+        m_linesThisSecond = 0;
+        m_linesOmitted = 0;
+    }
+    if (result.end != BatchEnd::Completed || ++m_linesThisSecond <= CompletedLinesPerSecond)
+        return true;
+    ++m_linesOmitted;
+    return false;
+}
+
 void BatchJobs::logEnd(const std::string &id, const Active &job, const BatchResult &result) const
 {
     const MonotonicTime now = m_clock.now();
@@ -122,6 +146,8 @@
             .with("took", now - job.arrived)
             .with("left", job.deadline - now)
             .with("active", m_active.size());
+    if (!result.lastExecutor.empty())
+        event.with("lastExecutor", result.lastExecutor).with("lastRan", result.lastRan);
     if (!result.cause.empty())
         event.with("cause", result.cause).with("retryAfter", result.retryAfter);
 }
--- a/src/daemon/batch/batchjobs.h
+++ b/src/daemon/batch/batchjobs.h
@@ -2,6 +2,7 @@
 
 #include "anvilmill/clock.h"
 #include "batch/batchhost.h"
+#include "batch/batchmetrics.h"
 
 #include <cstdint>
 #include <deque>
@@ -27,7 +28,7 @@
     using ResultHandler = BatchHost::ResultHandler;
 
     /// Precondition: the references outlive the object. Ends are remembered for \p statusKept.
-    BatchJobs(BatchHost &host, const Clock &clock, Duration statusKept);
+    BatchJobs(BatchHost &host, const Clock &clock, BatchMetrics &metrics, Duration statusKept);
 
     /// \brief Runs a job, or waits for the one of that name that runs already.
     Waiter submit(BatchJob job, ResultHandler handler);
@@ -54,17 +55,22 @@
     };
 
     void ended(const std::string &id, const BatchResult &result);
+    [[nodiscard]] bool isLogged(const BatchResult &result);
     void logEnd(const std::string &id, const Active &job, const BatchResult &result) const;
     void remember(const std::string &id, BatchEnd end);
 
     BatchHost &m_host;
     const Clock &m_clock;
+    BatchMetrics &m_metrics;
     Duration m_statusKept;
     std::map<std::string, Active> m_active;
     std::map<Waiter, std::string> m_waiters;
     std::map<std::string, BatchState> m_ended;
     std::deque<std::pair<MonotonicTime, std::string>> m_endOrder;
     Waiter m_lastWaiter = 0;
+    MonotonicTime m_logSecond;
+    std::size_t m_linesThisSecond = 0;
+    std::size_t m_linesOmitted = 0;
 };
 
 } // namespace anvilmill::daemon
--- /dev/null
+++ b/src/daemon/batch/batchmetrics.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "anvilmill/clock.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace anvilmill::daemon {
+
+/// \brief Values of the labels of one metric, in the order of their names.
+using MetricLabels = std::vector<std::string>;
+
+/// \brief Counters and latency histograms of an entry host, in the text format of Prometheus.
+///
+/// The number of label values is bounded: what comes beyond it is counted as `other`.
+///
+/// Thread safety: used by the loop's thread alone.
+class BatchMetrics
+{
+public:
+    /// \brief A job has ended; \p cause is empty if it was completed.
+    void jobEnded(const std::string &route, const std::string &end, const std::string &cause,
+                  Duration took, Duration waited);
+
+    /// \brief A run on an executor that this host holds has ended.
+    void runEnded(const std::string &outcome, Duration ran);
+
+    /// \brief A call to the platform's store was answered, or not.
+    void storeCalled(const std::string &purpose, const std::string &outcome, Duration took);
+
+    /// \brief An executor was taken over, released, fenced, silent or distrusted.
+    void executorChanged(const std::string &change);
+
+    /// \brief Sets the present value of a gauge.
+    void setGauge(const std::string &name, double value);
+
+    [[nodiscard]] std::string asText() const;
+
+private:
+    /// Upper bounds in seconds: from a local round trip to what clients wait at most.
+    static constexpr std::array<double, 12> Bounds = {0.002, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                                      0.25,  0.5,   1.0,  2.5,   5.0,  10.0};
+    struct Histogram
+    {
+        std::array<std::uint64_t, Bounds.size()> counts{};
+        std::uint64_t count = 0;
+        double sum = 0.0;
+
+        void add(Duration duration);
+    };
+    struct Family
+    {
+        std::vector<std::string> labelNames;
+        std::map<MetricLabels, Histogram> histograms;
+        std::map<MetricLabels, std::uint64_t> counters;
+    };
+
+    Family &family(const std::string &name, const std::vector<std::string> &labelNames);
+    void count(const std::string &name, const std::vector<std::string> &labelNames,
+               MetricLabels labels);
+    void time(const std::string &name, const std::vector<std::string> &labelNames,
+              MetricLabels labels, Duration duration);
+
+    std::map<std::string, Family> m_families;
+    std::map<std::string, double> m_gauges;
+};
+
+} // namespace anvilmill::daemon
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -36,12 +36,14 @@
 };
 
 HolderService::HolderService(const Clock &clock, TimerQueue &timers, ExecutorCalls &calls,
-                             const HoldSettings &settings, HolderEvents events)
+                             BatchMetrics &metrics, const HoldSettings &settings,
+                             HolderEvents events)
     : m_clock(clock)
-    , m_timers(timers)
     , m_calls(calls)
+    , m_metrics(metrics)
     , m_settings(settings)
     , m_events(std::move(events))
+    , m_timers(timers)
 {
 }
 
@@ -91,6 +93,7 @@
         entry.executor.takeOver(membership.revision);
     else
         entry.executor.release();
+    m_metrics.executorChanged(isOurs ? "takenOver" : "released");
     LogEvent(isOurs ? "executor.takenOver" : "executor.released")
             .with("executor", registration.id)
             .with("membership", membership.revision)
@@ -107,11 +110,11 @@
     entry->isHolding = true;
     const HoldOrder order = entry->executor.nextHold();
     m_calls.hold(entry->executor.registration(), order,
-                 [this, entry, order](const HoldReply &reply) {
+                 m_timers.guard([this, entry, order](const HoldReply &reply) {
                      entry->isHolding = false;
                      if (!entry->isGone)
                          holdAnswered(entry, order, reply);
-                 });
+                 }));
 }
 
 void HolderService::holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
@@ -123,27 +126,31 @@
         if (entry->isSilent)
             LogEvent("executor.regained").with("executor", executor.registration().id);
         entry->isSilent = false;
-        emit(executor.holdAnswered(order, reply.report));
+        emit(executor.registration().id, executor.holdAnswered(order, reply.report));
         awaitProbe(entry);
         stopOrphans(entry);
         holdAgain(entry, {});
         break;
     case HoldReply::Kind::Fenced:
-        if (executor.holdFenced(order))
+        if (executor.holdFenced(order)) {
+            m_metrics.executorChanged("fenced");
             LogEvent("executor.fenced", LogEvent::Level::Warning)
                     .with("executor", executor.registration().id)
                     .with("fence", order.fence)
                     .with("membership", m_membership.revision);
+        }
         holdAgain(entry, HoldRetryPause);
         break;
     case HoldReply::Kind::Unanswered:
-        if (!entry->isSilent)
+        if (!entry->isSilent) {
+            m_metrics.executorChanged("silent");
             LogEvent("executor.silent", LogEvent::Level::Warning)
                     .with("executor", executor.registration().id)
                     .with("reason", reply.reason)
                     .with("runs", executor.runs());
+        }
         entry->isSilent = true;
-        emit(executor.holdUnanswered());
+        emit(executor.registration().id, executor.holdUnanswered());
         holdAgain(entry, HoldRetryPause);
         break;
     }
@@ -157,6 +164,7 @@
     if (!probe || *probe <= m_clock.now() || entry->awaitedProbe == probe)
         return;
     entry->awaitedProbe = probe;
+    m_metrics.executorChanged("distrusted");
     LogEvent("executor.distrusted", LogEvent::Level::Warning)
             .with("executor", entry->executor.registration().id)
             .with("pause", *probe - m_clock.now())
@@ -188,10 +196,10 @@
         return false;
     noteRoom(*entry);
     m_calls.start(entry->executor.registration(), *order, *spec,
-                  [this, entry, order = *order](const StartReply &reply) {
+                  m_timers.guard([this, entry, order = *order](const StartReply &reply) {
                       if (!entry->isGone)
                           startAnswered(entry, order, reply);
-                  });
+                  }));
     return true;
 }
 
@@ -218,7 +226,7 @@
             .with("executor", executor.registration().id)
             .with("fence", order.fence)
             .with("outcome", asString(end->outcome));
-    emit({*end});
+    emit(executor.registration().id, {*end});
 }
 
 bool HolderService::adopt(const std::string &executor, const RunId &run, const Resources &demand)
@@ -306,13 +314,15 @@
     return reports;
 }
 
-void HolderService::emit(const std::vector<RunEnd> &ends)
+void HolderService::emit(const std::string &executor, const std::vector<RunEnd> &ends)
 {
     for (const RunEnd &end : ends) {
+        m_metrics.runEnded(asString(end.outcome), end.ran.value_or(Duration()));
         if (end.outcome != RunOutcome::Done && end.outcome != RunOutcome::Stopped)
             LogEvent("run.ended")
                     .with("task", end.run.task)
                     .with("run", end.run.number)
+                    .with("executor", executor)
                     .with("outcome", asString(end.outcome))
                     .with("ran", end.ran.value_or(Duration()));
         m_events.runEnded(end);
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -5,6 +5,8 @@
 #include "anvilmill/executor/heldexecutor.h"
 #include "anvilmill/executor/holderassignment.h"
 #include "anvilmill/scheduling/roomview.h"
+#include "batch/batchmetrics.h"
+#include "loop/timerscope.h"
 
 #include <functional>
 #include <map>
@@ -15,8 +17,6 @@
 
 namespace anvilmill::daemon {
 
-class TimerQueue;
-
 /// \brief What a holder service tells its owner; called from the loop, never from within a call.
 struct HolderEvents
 {
@@ -34,7 +34,7 @@
 public:
     /// Precondition: the references outlive the service.
     HolderService(const Clock &clock, TimerQueue &timers, ExecutorCalls &calls,
-                  const HoldSettings &settings, HolderEvents events);
+                  BatchMetrics &metrics, const HoldSettings &settings, HolderEvents events);
     ~HolderService();
 
     /// \brief An executor is listed, or what it says of itself has changed.
@@ -83,11 +83,11 @@
     void sendStop(const std::shared_ptr<Entry> &entry, const RunId &run, int attempt);
     void stopOrphans(const std::shared_ptr<Entry> &entry);
     void noteRoom(const Entry &entry);
-    void emit(const std::vector<RunEnd> &ends);
+    void emit(const std::string &executor, const std::vector<RunEnd> &ends);
 
     const Clock &m_clock;
-    TimerQueue &m_timers;
     ExecutorCalls &m_calls;
+    BatchMetrics &m_metrics;
     HoldSettings m_settings;
     HolderEvents m_events;
     std::map<std::string, std::shared_ptr<Entry>> m_entries;
@@ -95,6 +95,7 @@
     std::string m_self;
     std::set<std::string> m_changed;
     bool m_isChangeAnnounced = false;
+    TimerScope m_timers;
 };
 
 } // namespace anvilmill::daemon
--- a/src/daemon/batch/hostregistry.cpp
+++ b/src/daemon/batch/hostregistry.cpp
@@ -43,7 +43,6 @@
                            RandomSource &random, const RegistrySettings &settings, ListedHost self,
                            std::uint64_t incarnation, MembershipHandler handler)
     : m_store(store)
-    , m_timers(timers)
     , m_random(random)
     , m_settings(settings)
     , m_self(std::move(self))
@@ -52,6 +51,7 @@
     , m_listing(clock, settings.settleDelay)
     , m_follower(store, timers, random, settings.prefix, {},
                  [this](const std::vector<StoreItem> &) { entriesChanged(); })
+    , m_timers(timers)
 {
 }
 
--- a/src/daemon/batch/hostregistry.h
+++ b/src/daemon/batch/hostregistry.h
@@ -4,6 +4,7 @@
 #include "anvilmill/executor/hostlisting.h"
 #include "anvilmill/platform/asyncstore.h"
 #include "loop/prefixfollower.h"
+#include "loop/timerscope.h"
 
 #include <functional>
 #include <string>
@@ -14,8 +15,6 @@
 
 namespace anvilmill::daemon {
 
-class TimerQueue;
-
 /// \brief How a host keeps its entry in the store.
 struct RegistrySettings
 {
@@ -63,7 +62,6 @@
     void adoptDue();
 
     AsyncStore &m_store;
-    TimerQueue &m_timers;
     RandomSource &m_random;
     RegistrySettings m_settings;
     ListedHost m_self;
@@ -73,6 +71,7 @@
     PrefixFollower m_follower;
     LeaseId m_lease = 0;
     bool m_hasLeft = false;
+    TimerScope m_timers;
 };
 
 } // namespace anvilmill::daemon
--- a/src/daemon/loop/httpserver.cpp
+++ b/src/daemon/loop/httpserver.cpp
@@ -119,7 +119,7 @@
         m_response.keep_alive(m_isKept && !m_state->isClosing);
         for (const auto &[name, value] : response.headers)
             m_response.set(name, value);
-        if (!response.body.empty())
+        if (!response.body.empty() && m_response[http::field::content_type].empty())
             m_response.set(http::field::content_type, "application/json");
         m_response.body() = std::move(response.body);
         m_response.prepare_payload();
--- a/src/daemon/loop/prefixfollower.cpp
+++ b/src/daemon/loop/prefixfollower.cpp
@@ -12,12 +12,12 @@
 PrefixFollower::PrefixFollower(AsyncStore &store, TimerQueue &timers, RandomSource &random,
                                std::string prefix, const FollowPace &pace, ChangeHandler handler)
     : m_store(store)
-    , m_timers(timers)
     , m_random(random)
     , m_prefix(std::move(prefix))
     , m_pace(pace)
     , m_handler(std::move(handler))
     , m_retry(pace.firstRetry)
+    , m_timers(timers)
 {
 }
 
--- a/src/daemon/loop/prefixfollower.h
+++ b/src/daemon/loop/prefixfollower.h
@@ -3,6 +3,7 @@
 #include "anvilmill/clock.h"
 #include "anvilmill/platform/asyncstore.h"
 #include "anvilmill/platform/prefixmirror.h"
+#include "loop/timerscope.h"
 
 #include <functional>
 #include <memory>
@@ -15,8 +16,6 @@
 
 namespace anvilmill::daemon {
 
-class TimerQueue;
-
 /// \brief How often a follower may call the store.
 struct FollowPace
 {
@@ -63,7 +62,6 @@
     void call(void (PrefixFollower::*step)(), Duration delay);
 
     AsyncStore &m_store;
-    TimerQueue &m_timers;
     RandomSource &m_random;
     std::string m_prefix;
     FollowPace m_pace;
@@ -73,6 +71,7 @@
     bool m_isReachable = false;
     bool m_hasFailed = false;
     bool m_needsRead = true;
+    TimerScope m_timers;
 };
 
 } // namespace anvilmill::daemon
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -147,7 +147,7 @@
 void BatchScheduler::cancel(JobNumber number)
 {
     if (m_jobs.count(number) > 0)
-        finish(number, {BatchEnd::Cancelled, "cancelled", {}, 0, {}});
+        finish(number, {BatchEnd::Cancelled, "cancelled", {}, 0, {}, "", {}});
 }
 
 void BatchScheduler::place()
@@ -279,8 +279,10 @@
     }
 }
 
-void BatchScheduler::noteEnd(const Running &running, const Job &job, const RunEnd &end)
+void BatchScheduler::noteEnd(const Running &running, Job &job, const RunEnd &end)
 {
+    job.lastExecutor = running.executor;
+    job.lastRan = end.ran.value_or(Duration());
     if (end.outcome != RunOutcome::Done || !end.ran)
         return;
     const Duration declared = job.job.tasks[running.task.index].estimate;
@@ -293,7 +295,7 @@
 {
     job.tasks[index].isDone = true;
     if (--job.left == 0)
-        finish(number, {BatchEnd::Completed, "", {}, 0, {}});
+        finish(number, {BatchEnd::Completed, "", {}, 0, {}, "", {}});
 }
 
 void BatchScheduler::taskFailed(JobNumber number, Job &job, std::uint32_t index,
@@ -301,7 +303,7 @@
 {
     Task &task = job.tasks[index];
     if (++task.failures >= job.job.route->maxAttempts) {
-        finish(number, {BatchEnd::Failed, "taskFailed", {}, 0, {}});
+        finish(number, {BatchEnd::Failed, "taskFailed", {}, 0, {}, "", {}});
         return;
     }
     task.tried.push_back(executor);
@@ -320,9 +322,10 @@
 void BatchScheduler::expireJob(JobNumber number, Job &job)
 {
     if (job.runs == 0)
-        finish(number, {BatchEnd::Refused, "waitedTooLong", retryAfter(LeastRetryAfter), 0, {}});
+        finish(number,
+               {BatchEnd::Refused, "waitedTooLong", retryAfter(LeastRetryAfter), 0, {}, "", {}});
     else
-        finish(number, {BatchEnd::Broken, "deadline", {}, 0, {}});
+        finish(number, {BatchEnd::Broken, "deadline", {}, 0, {}, "", {}});
 }
 
 std::optional<MonotonicTime> BatchScheduler::nextExpiry() const
@@ -348,6 +351,10 @@
         if (!node.empty())
             stops.emplace_back(node.mapped().executor, run);
     }
+    if (job.runs > 0)
+        result.lastExecutor = m_view.idOf(stops.empty() ? job.lastExecutor : stops.front().first);
+    if (stops.empty())
+        result.lastRan = job.lastRan;
     for (const auto &[executor, run] : stops)
         m_output.stopTask(executor, run);
     m_output.jobEnded(number, result);
--- a/tests/fakes/fakeexecutor.h
+++ b/tests/fakes/fakeexecutor.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "anvilmill/clock.h"
 #include "anvilmill/executor/heldexecutor.h"
-#include "anvilmill/manualclock.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -17,7 +17,7 @@
 class FakeExecutor
 {
 public:
-    explicit FakeExecutor(const ManualClock &clock, Resources capacity)
+    explicit FakeExecutor(const Clock &clock, Resources capacity)
         : m_clock(clock)
         , m_capacity(capacity)
     {
@@ -133,7 +133,7 @@
             end(RunId(m_runs.begin()->first), RunOutcome::Lapsed);
     }
 
-    const ManualClock &m_clock;
+    const Clock &m_clock;
     Resources m_capacity;
     MonotonicTime m_born;
     std::uint64_t m_incarnation = 0;
--- /dev/null
+++ b/tests/fakes/loopexecutors.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "fakes/fakeexecutor.h"
+
+#include "anvilmill/executor/executorcalls.h"
+#include "loop/timerqueue.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace anvilmill::tests {
+
+/// Executors on an event loop: each run ends as done after a set time, unless it is stopped or its
+/// lease lapses before.
+class LoopExecutors final : public ExecutorCalls
+{
+public:
+    LoopExecutors(const Clock &clock, daemon::TimerQueue &timers)
+        : m_clock(clock)
+        , m_timers(timers)
+    {
+    }
+
+    void add(const std::string &id, const Resources &capacity)
+    {
+        m_executors[id] = std::make_unique<FakeExecutor>(m_clock, capacity);
+    }
+
+    [[nodiscard]] FakeExecutor &executor(const std::string &id) { return *m_executors.at(id); }
+
+    void setRunTime(Duration runTime) { m_runTime = runTime; }
+
+    [[nodiscard]] int starts() const { return m_starts; }
+
+    void start(const ExecutorRegistration &registration, const StartOrder &order,
+               const std::string &, std::function<void(StartReply)> handler) override
+    {
+        FakeExecutor &fake = executor(registration.id);
+        const StartAnswer answer = fake.start(order, {1, 1, 0});
+        if (answer == StartAnswer::Started) {
+            ++m_starts;
+            m_timers.after(m_runTime, [&fake, run = order.run] {
+                if (fake.runs(run))
+                    fake.end(run, RunOutcome::Done);
+            });
+        }
+        m_timers.soon([handler = std::move(handler), answer] { handler(answer); });
+    }
+
+    void stop(const ExecutorRegistration &registration, const StopOrder &order,
+              std::function<void(bool)> handler) override
+    {
+        executor(registration.id).stop(order);
+        m_timers.soon([handler = std::move(handler)] { handler(true); });
+    }
+
+    void hold(const ExecutorRegistration &registration, const HoldOrder &order,
+              std::function<void(const HoldReply &)> handler) override
+    {
+        // Ends are looked for at short intervals instead of being waited for.
+        const Duration pause = std::min<Duration>(order.wait, std::chrono::milliseconds(10));
+        FakeExecutor &fake = executor(registration.id);
+        m_timers.after(pause, [&fake, order, handler = std::move(handler)] {
+            const auto report = fake.hold(order);
+            if (report)
+                handler({HoldReply::Kind::Answered, *report, ""});
+            else
+                handler({HoldReply::Kind::Fenced, {}, "fence"});
+        });
+    }
+
+    void forget(const std::string &) override { }
+
+private:
+    const Clock &m_clock;
+    daemon::TimerQueue &m_timers;
+    std::map<std::string, std::unique_ptr<FakeExecutor>> m_executors;
+    Duration m_runTime = std::chrono::milliseconds(50);
+    int m_starts = 0;
+};
+
+} // namespace anvilmill::tests
--- /dev/null
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -0,0 +1,230 @@
+#include "batch/batchhost.h"
+#include "batch/batchmetrics.h"
+#include "fakes/loopexecutors.h"
+#include "loop/timerqueue.h"
+
+#include "anvilmill/randomsource.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+using namespace anvilmill;
+using namespace anvilmill::daemon;
+using anvilmill::tests::LoopExecutors;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Resources Capacity{4000, 4096, 0};
+const Resources Demand{2000, 64, 0};
+constexpr Duration LongestWait = seconds(12);
+
+boost::asio::ip::tcp::endpoint loopback(std::uint16_t port)
+{
+    return {boost::asio::ip::make_address_v4("127.0.0.1"), port};
+}
+
+} // namespace
+
+/// Two entry hosts with real connections between them, and executors in the same process.
+class BatchHostsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchHostsTest);
+    CPPUNIT_TEST(jobUsesTheExecutorsOfAllHosts);
+    CPPUNIT_TEST(cancelledJobIsStoppedAtTheHolder);
+    CPPUNIT_TEST(runsOfALostHostAreStoppedByTheirHolder);
+    CPPUNIT_TEST(runsOfALostHolderAreRunAgain);
+    CPPUNIT_TEST(runsOfALostHolderGoOnUnderTheNext);
+    CPPUNIT_TEST(executorsChangeHandsUnderRunningJobs);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<boost::asio::io_context>(1);
+        m_timers = std::make_unique<TimerQueue>(*m_loop, m_clock);
+        m_executors = std::make_unique<LoopExecutors>(m_clock, *m_timers);
+        m_results.clear();
+        // The ports are free for tests; each test has its own, so that none waits for another's.
+        static std::uint16_t port = 42100;
+        port = static_cast<std::uint16_t>(port + 2);
+        m_portA = port;
+        m_portB = static_cast<std::uint16_t>(port + 1);
+        m_a = makeHost("a", m_portA);
+        m_b = makeHost("b", m_portB);
+        setMembership(1, true);
+        waitFor([&] { return m_a->reachesExecutors() && m_b->reachesExecutors(); });
+        runFor(milliseconds(300));
+    }
+
+    void tearDown() override
+    {
+        m_a.reset();
+        m_b.reset();
+        m_timers->clear();
+        m_loop->stop();
+        m_executors.reset();
+        m_timers.reset();
+        m_loop.reset();
+    }
+
+    void jobUsesTheExecutorsOfAllHosts()
+    {
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return m_results.count("job") > 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Completed);
+        CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
+        CPPUNIT_ASSERT(m_results["job"].lastExecutor != "");
+    }
+
+    void cancelledJobIsStoppedAtTheHolder()
+    {
+        m_executors->setRunTime(seconds(60));
+        const auto number = submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return runningTasks("job", 8) == 8; });
+        m_a->cancel(*number);
+        waitFor([&] { return runningTasks("job", 8) == 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Cancelled);
+    }
+
+    // A client sends a job again 1.3 s after its host was lost; no run may be left by then.
+    void runsOfALostHostAreStoppedByTheirHolder()
+    {
+        m_executors->setRunTime(seconds(60));
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return runningTasks("job", 8) == 8; });
+        m_a.reset();
+        const MonotonicTime lost = m_clock.now();
+        waitFor([&] { return runningTasks("job", 8) == 0; });
+        CPPUNIT_ASSERT(m_clock.now() - lost < seconds(5));
+    }
+
+    void runsOfALostHolderAreRunAgain()
+    {
+        m_executors->setRunTime(seconds(4));
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return runningTasks("job", 8) == 8; });
+        m_b.reset();
+        m_executors->setRunTime(milliseconds(50));
+        waitFor([&] { return m_executors->starts() > 8; });
+        setMembership(2, false);
+        waitFor([&] { return m_results.count("job") > 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Completed);
+    }
+
+    void runsOfALostHolderGoOnUnderTheNext()
+    {
+        m_executors->setRunTime(seconds(4));
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return runningTasks("job", 8) == 8; });
+        m_b.reset();
+        setMembership(2, false);
+        waitFor([&] { return m_results.count("job") > 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Completed);
+        CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
+    }
+
+    void executorsChangeHandsUnderRunningJobs()
+    {
+        m_executors->setRunTime(milliseconds(1500));
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return runningTasks("job", 8) == 8; });
+        setMembership(2, true, true);
+        waitFor([&] { return m_results.count("job") > 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Completed);
+        CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_b->heldRuns());
+    }
+
+private:
+    [[nodiscard]] std::unique_ptr<BatchHost> makeHost(const std::string &name, std::uint16_t port)
+    {
+        BatchHostSettings settings;
+        settings.name = name;
+        settings.dataCentre = "dc";
+        settings.meshAddress = loopback(port);
+        auto host = std::make_unique<BatchHost>(*m_loop, *m_timers, m_clock, m_random, *m_executors,
+                                                m_metrics, settings);
+        for (const std::string id : {"e1", "e2", "e3", "e4"}) {
+            if (name == "a")
+                m_executors->add(id, Capacity);
+            ExecutorRegistration registration;
+            registration.id = id;
+            registration.service = "desk";
+            registration.dataCentre = "dc";
+            registration.capacity = Capacity;
+            host->updateExecutor(registration);
+        }
+        return host;
+    }
+
+    void setMembership(StoreVersion revision, bool hasB, bool isBLeaving = false)
+    {
+        HostMembership membership;
+        membership.revision = revision;
+        membership.hosts.push_back({"a", "dc", "127.0.0.1:" + std::to_string(m_portA), false});
+        if (hasB)
+            membership.hosts.push_back(
+                    {"b", "dc", "127.0.0.1:" + std::to_string(m_portB), isBLeaving});
+        if (m_a)
+            m_a->setMembership(membership);
+        if (m_b)
+            m_b->setMembership(membership);
+    }
+
+    std::optional<JobNumber> submit(BatchHost &host, const std::string &id, std::size_t tasks,
+                                    Duration wait)
+    {
+        RoutePolicy policy;
+        policy.route = "quotes";
+        policy.service = "desk";
+        policy.maxAttempts = 2;
+        BatchJob job;
+        job.id = id;
+        job.route = std::make_shared<const RoutePolicy>(policy);
+        job.spec = std::make_shared<const std::string>("spec");
+        job.tasks.assign(tasks, {Demand, milliseconds(50)});
+        job.arrived = m_clock.now();
+        job.deadline = job.arrived + wait;
+        return host.submit(std::move(job),
+                           [this, id](const BatchResult &result) { m_results[id] = result; });
+    }
+
+    [[nodiscard]] std::size_t runningTasks(const std::string &job, std::size_t tasks)
+    {
+        std::size_t running = 0;
+        for (std::size_t i = 0; i < tasks; ++i) {
+            for (const char *const id : {"e1", "e2", "e3", "e4"})
+                running += m_executors->executor(id).runs({job + ".0.0." + std::to_string(i), 1});
+        }
+        return running;
+    }
+
+    template <typename Condition>
+    void waitFor(Condition isMet)
+    {
+        const MonotonicTime limit = m_clock.now() + LongestWait;
+        while (!isMet() && m_clock.now() < limit)
+            m_loop->run_for(milliseconds(5));
+        CPPUNIT_ASSERT(isMet());
+    }
+
+    void runFor(Duration time) { m_loop->run_for(time); }
+
+    SystemClock m_clock;
+    SeededRandom m_random{7};
+    BatchMetrics m_metrics;
+    std::unique_ptr<boost::asio::io_context> m_loop;
+    std::unique_ptr<TimerQueue> m_timers;
+    std::unique_ptr<LoopExecutors> m_executors;
+    std::unique_ptr<BatchHost> m_a;
+    std::unique_ptr<BatchHost> m_b;
+    std::map<std::string, BatchResult> m_results;
+    std::uint16_t m_portA = 0;
+    std::uint16_t m_portB = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchHostsTest);
