Jobs that can still be in time go first

Cause: at the crest every job waited in the order of arrival within its priority, until all of a priority were late together; some were held to their clients' deadline unserved. Ruled out: nothing else was tried. Change: a job that can no longer be in time waits for what those that can leave; one whose answer would be worth nothing is refused then; started jobs go before unstarted ones of their priority; the wait is estimated with the host's own share of the executors.

--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -25,8 +25,11 @@
 
 /// \brief Decides which job waits, which is refused, and where each task is placed.
 ///
-/// Jobs go by the priority of their route, then by arrival. A job that can't be done by its
-/// deadline is refused at once; one that becomes hopeless while it waits is refused then.
+/// Load pattern: for seconds on end more work arrives than fits. In the order of arrival every job
+/// would wait until all are late. So jobs that can still be in time go first, by the priority of
+/// their route and then by arrival; one that can no longer be in time waits for room that they
+/// leave; one that can't be done while its answer is worth something is refused at once. A job that
+/// was started goes before all others of its priority: what it has done would be lost.
 /// A task that failed is tried elsewhere. Whether an executor gets starts at all is its holder's
 /// decision, which sees all that runs there.
 ///
@@ -43,6 +46,9 @@
     /// \brief Ends the job as cancelled and stops its runs; nothing if it isn't known.
     void cancel(JobNumber number);
 
+    /// \brief What part of all executors' work this host's jobs can count on; 1 at first.
+    void setShare(double share) noexcept { m_share = share; }
+
     /// \brief Places what fits. Call after anything that may have freed room.
     void place();
 
@@ -91,10 +97,13 @@
         std::size_t lastExecutor = 0;
         Duration lastRan{};
         MonotonicTime expiry;
+        bool isLate = false;
     };
     struct Position
     {
+        bool isLate = false;
         int priority = 0;
+        bool isUnstarted = true;
         MonotonicTime arrived;
         JobNumber number = 0;
 
@@ -116,6 +125,10 @@
                                   std::size_t task) const;
     [[nodiscard]] Duration longestWork(const BatchJob &job, std::size_t routeIndex) const;
     [[nodiscard]] double queuedBefore(int priority) const;
+    [[nodiscard]] Duration expectedRun(const Job &job) const;
+    [[nodiscard]] MonotonicTime nextExpiryOf(const Job &job) const;
+    [[nodiscard]] Duration aimOf(const Job &job) const;
+    void reposition(JobNumber number, Job &job, bool isLate, int runs);
     [[nodiscard]] Duration retryAfter(Duration wait) const;
     [[nodiscard]] Position positionOf(JobNumber number, const Job &job) const;
     [[nodiscard]] bool placeTasks(JobNumber number, Job &job);
@@ -139,6 +152,7 @@
     std::set<Position> m_queue;
     std::set<std::pair<MonotonicTime, JobNumber>> m_expiries;
     RunningTasks m_running;
+    double m_share = 1.0;
 };
 
 } // namespace anvilmill
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -196,6 +196,8 @@
             m_nearHosts.push_back(host.name);
     }
     m_view.setOwnDataCentreFirst(!isSmall);
+    const std::size_t hosts = std::max<std::size_t>(1, m_membership.hosts.size());
+    m_scheduler.setShare(1.0 / static_cast<double>(hosts));
 }
 
 std::string BatchHost::holderOfExecutor(std::size_t executor) const
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -15,6 +15,8 @@
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(500);
 /// An executor that has seen runs of a former attempt gets numbers above any that one may have used.
 constexpr std::uint64_t SupersededStep = 64;
+/// An answer after this many times the time in which it is in time is worth nothing.
+constexpr int LateFactor = 3;
 constexpr double MillisPerCore = 1000.0;
 
 double asSeconds(Duration duration)
@@ -53,8 +55,8 @@
 
 bool BatchScheduler::Position::operator<(const Position &other) const noexcept
 {
-    return std::tie(priority, arrived, number)
-           < std::tie(other.priority, other.arrived, other.number);
+    return std::tie(isLate, priority, isUnstarted, arrived, number)
+           < std::tie(other.isLate, other.priority, other.isUnstarted, other.arrived, other.number);
 }
 
 BatchScheduler::BatchScheduler(const Clock &clock, RandomSource &random, RoomView &view,
@@ -80,11 +82,10 @@
     std::iota(entry.unstarted.rbegin(), entry.unstarted.rend(), 0U);
     for (std::size_t i = 0; i < job.tasks.size(); ++i)
         entry.queuedWork += coreSeconds(job.tasks[i].resources, workOf(job, routeIndex, i));
-    const MonotonicTime expiry = job.deadline;
     entry.job = std::move(job);
     Job &placed = m_jobs.emplace(number, std::move(entry)).first->second;
     m_queue.insert(positionOf(number, placed));
-    setExpiry(number, placed, expiry);
+    setExpiry(number, placed, nextExpiryOf(placed));
     return std::nullopt;
 }
 
@@ -98,7 +99,7 @@
         if (m_view.fittingExecutors(service, task.resources) == 0)
             return BatchRefusal{"tooLarge", retryAfter(LeastRetryAfter)};
     }
-    const double capacity = m_view.capacityOf(service);
+    const double capacity = m_view.capacityOf(service) * m_share;
     const Duration wait = asDuration(queuedBefore(job.route->priority) / capacity);
     const Duration own = longestWork(job, routeIndex);
     if (m_clock.now() + wait + own > job.deadline && wait > Duration{})
@@ -125,7 +126,7 @@
 {
     double work = 0.0;
     for (const Position &position : m_queue) {
-        if (position.priority > priority)
+        if (position.isLate || position.priority > priority)
             break;
         work += m_jobs.at(position.number).queuedWork;
     }
@@ -141,7 +142,7 @@
 
 BatchScheduler::Position BatchScheduler::positionOf(JobNumber number, const Job &job) const
 {
-    return {job.job.route->priority, job.job.arrived, number};
+    return {job.isLate, job.job.route->priority, job.runs == 0, job.job.arrived, number};
 }
 
 void BatchScheduler::cancel(JobNumber number)
@@ -193,8 +194,10 @@
 {
     Task &task = job.tasks[index];
     ++task.runNumber;
-    if (job.runs++ == 0)
+    if (job.runs == 0)
         job.firstStart = m_clock.now();
+    reposition(number, job, false, job.runs + 1);
+    setExpiry(number, job, job.job.deadline);
     const Resources &demand = job.job.tasks[index].resources;
     job.queuedWork -= coreSeconds(demand, workOf(job.job, job.routeIndex, index));
     // Jobs of this kind have one occurrence and one step.
@@ -319,9 +322,46 @@
     }
 }
 
+// The time in which an answer is in time, from arrival.
+Duration BatchScheduler::aimOf(const Job &job) const
+{
+    const double stretched =
+            asSeconds(longestWork(job.job, job.routeIndex)) * job.job.route->stretch;
+    return asDuration(stretched) + job.job.route->target;
+}
+
+Duration BatchScheduler::expectedRun(const Job &job) const
+{
+    return longestWork(job.job, job.routeIndex);
+}
+
+/// When the job has to be looked at again: a started one at its deadline, one that waits when it
+/// can't be in time any more, and then when its answer would be worth nothing.
+MonotonicTime BatchScheduler::nextExpiryOf(const Job &job) const
+{
+    if (job.runs > 0)
+        return job.job.deadline;
+    const Duration allowed = aimOf(job) * (job.isLate ? LateFactor : 1);
+    const MonotonicTime latestStart = job.job.arrived + allowed - expectedRun(job);
+    return std::min(job.job.deadline, std::max(latestStart, job.job.arrived));
+}
+
+/// Moves a job in the queue, if it is there.
+void BatchScheduler::reposition(JobNumber number, Job &job, bool isLate, int runs)
+{
+    const bool wasQueued = m_queue.erase(positionOf(number, job)) > 0;
+    job.isLate = isLate;
+    job.runs = runs;
+    if (wasQueued)
+        m_queue.insert(positionOf(number, job));
+}
+
 void BatchScheduler::expireJob(JobNumber number, Job &job)
 {
-    if (job.runs == 0)
+    if (job.runs == 0 && !job.isLate && m_clock.now() < job.job.deadline) {
+        reposition(number, job, true, 0);
+        setExpiry(number, job, nextExpiryOf(job));
+    } else if (job.runs == 0)
         finish(number,
                {BatchEnd::Refused, "waitedTooLong", retryAfter(LeastRetryAfter), 0, {}, "", {}});
     else
--- a/tests/unit/scheduling/test_batchscheduler.cpp
+++ b/tests/unit/scheduling/test_batchscheduler.cpp
@@ -7,6 +7,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 
 using namespace anvilmill;
@@ -34,6 +36,9 @@
     CPPUNIT_TEST(supersededRunGetsAHigherNumber);
     CPPUNIT_TEST(jobThatNoExecutorFitsIsRefusedAtOnce);
     CPPUNIT_TEST(jobBehindALongQueueIsRefusedAtOnce);
+    CPPUNIT_TEST(lateJobWaitsForThoseThatCanBeInTime);
+    CPPUNIT_TEST(jobWorthNothingAnyMoreIsRefused);
+    CPPUNIT_TEST(sustainedOverloadServesMostOfWhatFitsInTime);
     CPPUNIT_TEST(unstartedJobIsRefusedAtItsDeadline);
     CPPUNIT_TEST(startedJobIsBrokenAtItsDeadlineAndStopped);
     CPPUNIT_TEST(cancelStopsWhatRuns);
@@ -47,6 +52,7 @@
 public:
     void setUp() override
     {
+        m_ended.clear();
         m_clock = std::make_unique<ManualClock>();
         m_random = std::make_unique<SeededRandom>(3);
         m_view = std::make_unique<RoomView>(*m_clock, "a", Stale);
@@ -166,6 +172,51 @@
             CPPUNIT_ASSERT(start.task.job != number);
     }
 
+    // Load: room for two tasks, a job that has waited beyond its aim, and one that has just come.
+    void lateJobWaitsForThoseThatCanBeInTime()
+    {
+        useExecutors(1);
+        m_policy.stretch = 1.6;
+        m_policy.target = milliseconds(60);
+        submit(1, 2);
+        submit(2, 1);
+        m_clock->advance(milliseconds(250));
+        m_scheduler->expire();
+        submit(3, 1);
+        freeOne();
+        CPPUNIT_ASSERT_EQUAL(JobNumber{3}, m_output->starts.back().task.job);
+        m_view->report({"e0", Room});
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(JobNumber{2}, m_output->starts.back().task.job);
+    }
+
+    void jobWorthNothingAnyMoreIsRefused()
+    {
+        useExecutors(1);
+        m_policy.stretch = 1.6;
+        m_policy.target = milliseconds(60);
+        submit(1, 2);
+        submit(2, 1);
+        for (int i = 0; i < 9; ++i) {
+            m_clock->advance(milliseconds(100));
+            m_scheduler->expire();
+        }
+        CPPUNIT_ASSERT(m_output->ends.at(2).end == BatchEnd::Refused);
+        CPPUNIT_ASSERT(m_output->ends.count(1) == 0);
+    }
+
+    // Load: for four seconds one and a half times what one executor does, in jobs of one task of
+    // 170 ms whose aim is 332 ms. In the order of arrival alone all but the first are late.
+    void sustainedOverloadServesMostOfWhatFitsInTime()
+    {
+        useExecutors(1);
+        m_policy.stretch = 1.6;
+        m_policy.target = milliseconds(60);
+        const int inTime = inTimeUnderLoad(seconds(4), milliseconds(57));
+        // Two at a time: 47 fit into four seconds.
+        CPPUNIT_ASSERT(inTime >= 38);
+    }
+
     void unstartedJobIsRefusedAtItsDeadline()
     {
         useExecutors(1);
@@ -282,6 +333,48 @@
         m_scheduler->place();
     }
 
+    /// Submits a job at each interval and runs what is started for 170 ms; returns how many ended
+    /// within 332 ms.
+    int inTimeUnderLoad(Duration time, Duration interval)
+    {
+        constexpr Duration Step = milliseconds(1);
+        std::map<JobNumber, MonotonicTime> arrivals;
+        std::multimap<MonotonicTime, RunId> running;
+        std::size_t seen = 0;
+        MonotonicTime next = m_clock->now();
+        for (Duration passed{}; passed < time; passed += Step) {
+            m_clock->advance(Step);
+            while (!running.empty() && running.begin()->first <= m_clock->now()) {
+                m_scheduler->startAccepted(running.begin()->second);
+                m_scheduler->runEnded(
+                        {running.begin()->second, RunOutcome::Done, milliseconds(170)});
+                running.erase(running.begin());
+            }
+            m_scheduler->expire();
+            if (m_clock->now() >= next) {
+                next += interval;
+                const JobNumber number = arrivals.size() + 1;
+                arrivals[number] = m_clock->now();
+                if (m_scheduler->submit(number, jobOf(number, 1, Demand)))
+                    m_output->ends[number].end = BatchEnd::Refused;
+            }
+            const auto used = static_cast<std::int64_t>(running.size()) * Demand.cpuMillis;
+            m_view->report({"e0", {Room.cpuMillis - used, Room.memoryMb, 0}});
+            m_scheduler->place();
+            for (; seen < m_output->starts.size(); ++seen) {
+                running.emplace(m_clock->now() + milliseconds(170), m_output->starts[seen].run);
+                m_scheduler->startAccepted(m_output->starts[seen].run);
+            }
+            for (const auto &[number, result] : m_output->ends) {
+                if (result.end == BatchEnd::Completed && m_ended.count(number) == 0)
+                    m_ended[number] = m_clock->now() - arrivals[number];
+            }
+        }
+        return static_cast<int>(std::count_if(m_ended.begin(), m_ended.end(), [](const auto &each) {
+            return each.second <= milliseconds(332);
+        }));
+    }
+
     void end(std::size_t start, RunOutcome outcome)
     {
         m_scheduler->startAccepted(m_output->starts[start].run);
@@ -307,6 +400,7 @@
     std::unique_ptr<FakeBatchOutput> m_output;
     std::unique_ptr<BatchScheduler> m_scheduler;
     RoutePolicy m_policy;
+    std::map<JobNumber, Duration> m_ended;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchSchedulerTest);
