Idle connections that go silent are found within two seconds; fewer heartbeats between hosts

Hosts that share no runs told each other everything four times a second. A second struct ListedHost broke the one-definition rule: a test of hostlist.h crashed. Ruled out: shorter watches (each is a priced call).

--- a/include/anvilmill/executor/executorregistration.h
+++ b/include/anvilmill/executor/executorregistration.h
@@ -23,6 +23,15 @@
     bool isDraining = false;
     /// Identifies the process behind the id; a restart under the same id has another one.
     std::uint64_t incarnation = 0;
+
+    [[nodiscard]] friend bool operator==(const ExecutorRegistration &left,
+                                         const ExecutorRegistration &right)
+    {
+        return left.id == right.id && left.service == right.service && left.address == right.address
+               && left.dataCentre == right.dataCentre && left.capacity == right.capacity
+               && left.labels == right.labels && left.isDraining == right.isDraining
+               && left.incarnation == right.incarnation;
+    }
 };
 
 } // namespace anvilmill
--- a/include/anvilmill/executor/holderassignment.h
+++ b/include/anvilmill/executor/holderassignment.h
@@ -9,7 +9,7 @@
 namespace anvilmill {
 
 /// \brief An entry host as it is listed in the platform's store.
-struct ListedHost
+struct PeerHost
 {
     std::string name;
     std::string dataCentre;
@@ -25,7 +25,7 @@
 struct HostMembership
 {
     StoreVersion revision = NoVersion;
-    std::vector<ListedHost> hosts;
+    std::vector<PeerHost> hosts;
 };
 
 /// \brief The host that holds \p executor, or nothing if no host may.
--- a/include/anvilmill/forward.h
+++ b/include/anvilmill/forward.h
@@ -88,6 +88,7 @@
 struct ListedHost;
 struct MembershipOptions;
 struct MembershipSeed;
+struct PeerHost;
 struct PeerStatus;
 struct PlatformCall;
 struct Refusal;
--- a/include/anvilmill/scheduling/roomview.h
+++ b/include/anvilmill/scheduling/roomview.h
@@ -60,6 +60,9 @@
     /// \brief Whether executors of the own data centre go before faster ones elsewhere.
     void setOwnDataCentreFirst(bool isFirst) noexcept { m_isOwnFirst = isFirst; }
 
+    /// \brief How old a report may be to be counted on.
+    void setStaleAfter(Duration staleAfter) noexcept { m_staleAfter = staleAfter; }
+
     /// \brief Learned speed relative to an average executor.
     void setSpeed(std::size_t executor, double speed);
 
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -25,11 +25,15 @@
 constexpr Duration RoomInterval = std::chrono::milliseconds(8);
 /// All room is told this often, so that a host that is cut off shows by its silence.
 constexpr Duration AllRoomInterval = std::chrono::milliseconds(250);
+/// Hosts that share no runs with this one hear each fourth telling.
+constexpr std::size_t HeartbeatsForAll = 4;
 /// Room that was told longer ago is not counted on: three tellings were missed.
 constexpr Duration RoomStaleAfter = std::chrono::milliseconds(900);
 /// A host that is not heard for this long is not waited for: its runs here are stopped, and the
 /// connection to it is made anew. Short of the 1.3 s after which clients come again.
 constexpr Duration SilentAfter = std::chrono::milliseconds(900);
+/// The same for hosts that tell of themselves only each second.
+constexpr Duration FarSilentAfter = std::chrono::milliseconds(2500);
 /// By then a holder that hears nothing has stopped our runs: it has missed what we sent for
 /// SilentAfter, which we stopped sending that long after we heard it last, and a stop takes 50 ms.
 /// One that died lets them lapse sooner.
@@ -160,6 +164,10 @@
 
 void BatchHost::updateExecutor(const ExecutorRegistration &registration)
 {
+    // Entries are written again with each heartbeat; most say what the last one said.
+    const auto known = m_executors.find(registration.id);
+    if (known != m_executors.end() && known->second == registration)
+        return;
     m_executors[registration.id] = registration;
     m_view.update(registration);
     m_holder.update(registration);
@@ -178,7 +186,7 @@
     m_membership = membership;
     m_mesh.setHosts(membership.hosts);
     m_holder.assign(membership, m_settings.name);
-    for (const ListedHost &host : membership.hosts)
+    for (const PeerHost &host : membership.hosts)
         m_heard.emplace(host.name, m_clock.now());
     chooseNearHosts();
     claimMoved();
@@ -190,12 +198,13 @@
 {
     m_nearHosts.clear();
     const bool isSmall = m_membership.hosts.size() <= MostNearHosts + 1;
-    for (const ListedHost &host : m_membership.hosts) {
+    for (const PeerHost &host : m_membership.hosts) {
         const bool isNear = isSmall || host.dataCentre == m_settings.dataCentre;
         if (isNear && host.name != m_settings.name)
             m_nearHosts.push_back(host.name);
     }
     m_view.setOwnDataCentreFirst(!isSmall);
+    m_view.setStaleAfter(isSmall ? RoomStaleAfter : FarSilentAfter);
     const std::size_t hosts = std::max<std::size_t>(1, m_membership.hosts.size());
     m_scheduler.setShare(1.0 / static_cast<double>(hosts));
 }
@@ -243,6 +252,9 @@
         });
         return;
     }
+    // A host that told of itself only each second answers this at once.
+    MonotonicTime &heard = m_heard[holder];
+    heard = std::max(heard, m_clock.now() - SilentAfter / 2);
     MeshStart message;
     message.executor = m_view.idOf(start.executor);
     setRun(message, start.run);
@@ -255,7 +267,7 @@
 void BatchHost::startHere(const TaskStart &start)
 {
     const bool isAccepted =
-            m_holder.start(m_view.idOf(start.executor), start.run, start.demand, start.spec);
+            m_holder.start(m_view.idOf(start.executor), start.run, start.demand, *start.spec);
     m_timers.soon([this, run = start.run, isAccepted] {
         roomChanged();
         if (isAccepted) {
@@ -400,7 +412,8 @@
         m_hasToldWaiting = false;
         tellWaiting();
     }
-    sendRoom(rooms, m_mesh.connectedHosts());
+    const bool isForAll = m_heartbeats++ % HeartbeatsForAll == 0;
+    sendRoom(rooms, isForAll ? m_mesh.connectedHosts() : heartbeatHosts());
     if (m_clock.now() >= m_loadDue)
         logLoad();
     m_timers.after(AllRoomInterval, [this] { sendAllRoom(); });
@@ -418,6 +431,18 @@
                        static_cast<double>(m_mesh.connectedHosts().size()));
 }
 
+// Hosts that have to know soon when this one is gone: the near ones, and those whose runs are here
+// or which have runs of this host's jobs. They count this one among theirs too.
+std::vector<std::string> BatchHost::heartbeatHosts() const
+{
+    std::set<std::string> hosts(m_nearHosts.begin(), m_nearHosts.end());
+    for (const std::string &owner : m_runs.owners())
+        hosts.insert(owner);
+    for (const auto &[run, placed] : m_placed)
+        hosts.insert(placed.holder);
+    return {hosts.begin(), hosts.end()};
+}
+
 void BatchHost::logLoad()
 {
     m_loadDue = m_clock.now() + LoadInterval;
@@ -476,8 +501,7 @@
         const bool hasSpec = frame.specs && index < frame.specs->size();
         const bool isAccepted =
                 hasSpec
-                && m_holder.start(start.executor, run, resourcesOf(start),
-                                  std::make_shared<const std::string>((*frame.specs)[index]));
+                && m_holder.start(start.executor, run, resourcesOf(start), (*frame.specs)[index]);
         if (isAccepted)
             m_runs.setOwner(run, frame.host, start.executor);
         Frame *const answer = m_mesh.frameFor(frame.host);
@@ -599,8 +623,12 @@
         for (const auto &[run, executor] : runs)
             m_holder.stop(executor, run);
     }
-    for (const ListedHost &host : m_membership.hosts) {
-        if (host.name == m_settings.name || now - lastHeard(host.name) < SilentAfter)
+    const std::vector<std::string> expected = heartbeatHosts();
+    for (const PeerHost &host : m_membership.hosts) {
+        const bool isExpected =
+                std::find(expected.begin(), expected.end(), host.name) != expected.end();
+        const Duration limit = isExpected ? SilentAfter : FarSilentAfter;
+        if (host.name == m_settings.name || now - lastHeard(host.name) < limit)
             continue;
         m_waitingHosts.erase(host.name);
         m_mesh.redial(host.name);
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -100,6 +100,7 @@
     void sendRoom(const std::map<std::string, Resources> &rooms,
                   const std::vector<std::string> &hosts);
     void sendAllRoom();
+    [[nodiscard]] std::vector<std::string> heartbeatHosts() const;
     void logLoad();
     void received(const Frame &frame);
     void takeReplies(const Frame &frame);
@@ -142,6 +143,7 @@
     std::vector<std::string> m_nearHosts;
     std::optional<TimerQueue::Id> m_expiryTimer;
     MonotonicTime m_loadDue;
+    std::size_t m_heartbeats = 0;
     JobNumber m_lastJob = 0;
     bool m_isPlacingDue = false;
     bool m_isRoomDue = false;
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -185,7 +185,7 @@
 }
 
 bool HolderService::start(const std::string &executor, const RunId &run, const Resources &demand,
-                          std::shared_ptr<const std::string> spec)
+                          const std::string &spec)
 {
     const auto found = m_entries.find(executor);
     if (found == m_entries.end())
@@ -195,7 +195,7 @@
     if (!order)
         return false;
     noteRoom(*entry);
-    m_calls.start(entry->executor.registration(), *order, *spec,
+    m_calls.start(entry->executor.registration(), *order, spec,
                   m_timers.guard([this, entry, order = *order](const StartReply &reply) {
                       if (!entry->isGone)
                           startAnswered(entry, order, reply);
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -48,7 +48,7 @@
 
     /// \brief Starts a run on a held executor; false if there is no room or it isn't held here.
     [[nodiscard]] bool start(const std::string &executor, const RunId &run, const Resources &demand,
-                             std::shared_ptr<const std::string> spec);
+                             const std::string &spec);
 
     /// \brief Answers from now on for a run that an earlier holder started; false if not held here.
     [[nodiscard]] bool adopt(const std::string &executor, const RunId &run,
--- a/src/daemon/batch/hostregistry.cpp
+++ b/src/daemon/batch/hostregistry.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-std::string encoded(const ListedHost &host, std::uint64_t incarnation)
+std::string encoded(const PeerHost &host, std::uint64_t incarnation)
 {
     wire::hostentry::HostEntry entry;
     entry.dataCentre = host.dataCentre;
@@ -23,12 +23,12 @@
     return document.dump();
 }
 
-std::optional<ListedHost> decoded(const std::string &name, const std::string &value)
+std::optional<PeerHost> decoded(const std::string &name, const std::string &value)
 {
     try {
         wire::hostentry::HostEntry entry;
         wire::hostentry::from_json(nlohmann::json::parse(value), entry);
-        return ListedHost{name, entry.dataCentre, entry.peerAddress, entry.isLeaving};
+        return PeerHost{name, entry.dataCentre, entry.peerAddress, entry.isLeaving};
     } catch (const nlohmann::json::exception &exception) {
         LogEvent("host.entryUnreadable", LogEvent::Level::Warning)
                 .with("host", name)
@@ -40,7 +40,7 @@
 } // namespace
 
 HostRegistry::HostRegistry(AsyncStore &store, TimerQueue &timers, const Clock &clock,
-                           RandomSource &random, const RegistrySettings &settings, ListedHost self,
+                           RandomSource &random, const RegistrySettings &settings, PeerHost self,
                            std::uint64_t incarnation, MembershipHandler handler)
     : m_store(store)
     , m_random(random)
--- a/src/daemon/batch/hostregistry.h
+++ b/src/daemon/batch/hostregistry.h
@@ -38,7 +38,7 @@
 
     /// Precondition: the references outlive the registry.
     HostRegistry(AsyncStore &store, TimerQueue &timers, const Clock &clock, RandomSource &random,
-                 const RegistrySettings &settings, ListedHost self, std::uint64_t incarnation,
+                 const RegistrySettings &settings, PeerHost self, std::uint64_t incarnation,
                  MembershipHandler handler);
 
     void start();
@@ -64,7 +64,7 @@
     AsyncStore &m_store;
     RandomSource &m_random;
     RegistrySettings m_settings;
-    ListedHost m_self;
+    PeerHost m_self;
     std::uint64_t m_incarnation;
     MembershipHandler m_handler;
     HostListing m_listing;
--- a/src/daemon/batch/mesh.cpp
+++ b/src/daemon/batch/mesh.cpp
@@ -33,8 +33,9 @@
 /// Several round trips; a connection that is lost on the way is made anew before its host counts
 /// as silent.
 constexpr auto UnacknowledgedLimit = std::chrono::milliseconds(400);
-/// Room reports come every 250 ms: a host that sends nothing for this long is taken as cut off.
-constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
+/// Each host tells its room to all others once a second: one that sends nothing for this long is
+/// taken as cut off.
+constexpr Duration SilenceLimit = std::chrono::milliseconds(3500);
 
 /// Shared by the queues of all hosts that get the frame.
 using EncodedFrame = std::shared_ptr<const std::vector<std::uint8_t>>;
@@ -392,10 +393,10 @@
     });
 }
 
-void Mesh::setHosts(const std::vector<ListedHost> &hosts)
+void Mesh::setHosts(const std::vector<PeerHost> &hosts)
 {
     std::map<std::string, std::shared_ptr<Link>> kept;
-    for (const ListedHost &host : hosts) {
+    for (const PeerHost &host : hosts) {
         const auto address = parseEndpoint(host.peerAddress);
         if (host.name == m_state->self || !address)
             continue;
--- a/src/daemon/batch/mesh.h
+++ b/src/daemon/batch/mesh.h
@@ -44,7 +44,7 @@
     Mesh &operator=(const Mesh &) = delete;
 
     /// \brief Keeps connections to exactly these hosts, itself left out.
-    void setHosts(const std::vector<ListedHost> &hosts);
+    void setHosts(const std::vector<PeerHost> &hosts);
 
     /// \brief The frame that will go to \p host after this turn; nullptr if it isn't connected.
     [[nodiscard]] wire::meshframe::MeshFrame *frameFor(const std::string &host);
--- a/src/daemon/loop/httpclient.cpp
+++ b/src/daemon/loop/httpclient.cpp
@@ -103,6 +103,7 @@
         }
         m_isOpen = true;
         setPromptDelivery(m_socket, UnacknowledgedLimit);
+        setShortProbes(m_socket);
         write();
         read();
     }
@@ -149,7 +150,7 @@
         auto message = m_parser->release();
         HttpAnswer answer{HttpOutcome::Answered, message.result_int(), std::move(message.body()),
                           ""};
-        finish(std::move(answer), isKept);
+        finish(answer, isKept);
     }
 
     void fail(const std::string &reason)
@@ -164,7 +165,7 @@
         finish({outcome, 0, "", reason}, false);
     }
 
-    void finish(HttpAnswer answer, bool isKept)
+    void finish(const HttpAnswer &answer, bool isKept)
     {
         const OpenCall call = std::move(*m_call);
         m_call.reset();
--- a/src/daemon/loop/socketoptions.cpp
+++ b/src/daemon/loop/socketoptions.cpp
@@ -23,6 +23,19 @@
                 .with("reason", error ? error.message() : "TCP_USER_TIMEOUT");
 }
 
+void setShortProbes(boost::asio::ip::tcp::socket &socket)
+{
+    // One second idle, one probe, one second for its answer.
+    constexpr int One = 1;
+    const int handle = socket.native_handle();
+    const bool isSet = ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &One, sizeof One) == 0
+                       && ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &One, sizeof One) == 0
+                       && ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &One, sizeof One) == 0
+                       && ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &One, sizeof One) == 0;
+    if (!isSet)
+        LogEvent("socket.optionRefused", LogEvent::Level::Warning).with("reason", "SO_KEEPALIVE");
+}
+
 bool isClosedByPeer(boost::asio::ip::tcp::socket &socket)
 {
     char byte = 0;
--- a/src/lib/executor/holderassignment.cpp
+++ b/src/lib/executor/holderassignment.cpp
@@ -30,13 +30,13 @@
 std::optional<std::string> holderOf(const std::string &executor, const std::string &dataCentre,
                                     const HostMembership &membership)
 {
-    const auto isLocal = [&](const ListedHost &host) {
+    const auto isLocal = [&](const PeerHost &host) {
         return !host.isLeaving && host.dataCentre == dataCentre;
     };
     const bool hasLocal = std::any_of(membership.hosts.begin(), membership.hosts.end(), isLocal);
     std::optional<std::string> holder;
     std::uint64_t highest = 0;
-    for (const ListedHost &host : membership.hosts) {
+    for (const PeerHost &host : membership.hosts) {
         if (host.isLeaving || (hasLocal && !isLocal(host)))
             continue;
         const std::uint64_t hash = hashOf(executor, host.name);
--- a/src/lib/executor/hostlisting.cpp
+++ b/src/lib/executor/hostlisting.cpp
@@ -22,8 +22,8 @@
 
 bool HostListing::isHostMissing() const
 {
-    return std::any_of(m_adopted.hosts.begin(), m_adopted.hosts.end(), [&](const ListedHost &host) {
-        const auto isSame = [&](const ListedHost &other) { return other.name == host.name; };
+    return std::any_of(m_adopted.hosts.begin(), m_adopted.hosts.end(), [&](const PeerHost &host) {
+        const auto isSame = [&](const PeerHost &other) { return other.name == host.name; };
         return !host.isLeaving
                && std::none_of(m_listed.hosts.begin(), m_listed.hosts.end(), isSame);
     });
--- a/tests/unit/executor/test_hosts.cpp
+++ b/tests/unit/executor/test_hosts.cpp
@@ -16,14 +16,14 @@
 
 constexpr Duration Settle = milliseconds(1500);
 
-HostMembership membershipOf(StoreVersion revision, const std::vector<ListedHost> &hosts)
+HostMembership membershipOf(StoreVersion revision, const std::vector<PeerHost> &hosts)
 {
     return {revision, hosts};
 }
 
-const ListedHost A1{"a1", "a", "", false};
-const ListedHost A2{"a2", "a", "", false};
-const ListedHost B1{"b1", "b", "", false};
+const PeerHost A1{"a1", "a", "", false};
+const PeerHost A2{"a2", "a", "", false};
+const PeerHost B1{"b1", "b", "", false};
 
 std::string executorNamed(int number)
 {
@@ -67,7 +67,7 @@
 
     void lostHostMovesItsExecutorsAlone()
     {
-        const ListedHost a3{"a3", "a", "", false};
+        const PeerHost a3{"a3", "a", "", false};
         const HostMembership before = membershipOf(1, {A1, A2, a3});
         const HostMembership after = membershipOf(2, {A1, A2});
         for (int i = 0; i < 200; ++i) {
@@ -79,7 +79,7 @@
 
     void leavingHostHoldsNothing()
     {
-        ListedHost leaving = A1;
+        PeerHost leaving = A1;
         leaving.isLeaving = true;
         for (int i = 0; i < 50; ++i)
             CPPUNIT_ASSERT_EQUAL(std::string("a2"),
@@ -138,7 +138,7 @@
         HostListing listing(m_clock, Settle);
         listing.listed(membershipOf(1, {A1, A2}));
         (void)listing.takeDue();
-        ListedHost leaving = A2;
+        PeerHost leaving = A2;
         leaving.isLeaving = true;
         listing.listed(membershipOf(2, {A1, leaving}));
         CPPUNIT_ASSERT(listing.takeDue());
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,6 +6,6 @@
 shift
 files=("$@")
 if [ ${#files[@]} -eq 0 ]; then
-    mapfile -t files < <(git ls-files 'src/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'examples/*.cpp')
+    mapfile -t files < <(git ls-files 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'examples/*.cpp')
 fi
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 4 clang-tidy -p "$build" --quiet 2>/dev/null
