--- a/include/anvilmill/scheduling/roomview.h
+++ b/include/anvilmill/scheduling/roomview.h
@@ -16,6 +16,8 @@
 {
     std::string executor;
     Resources room;
+    /// The host that says so, and takes starts.
+    std::string holder;
 };
 
 /// \brief Where a task may be placed, best first by speed.
@@ -86,6 +88,9 @@
     [[nodiscard]] std::size_t fittingExecutors(const std::string &service,
                                                const Resources &demand) const;
 
+    /// \brief The host that reported the executor's room last; empty without a recent report.
+    [[nodiscard]] std::string holderOf(std::size_t executor) const;
+
     [[nodiscard]] const std::string &idOf(std::size_t executor) const;
     [[nodiscard]] std::optional<std::size_t> find(const std::string &executor) const;
     [[nodiscard]] std::size_t listed() const noexcept { return m_listed; }
@@ -95,6 +100,7 @@
     {
         ExecutorRegistration registration;
         Resources room;
+        std::string holder;
         Resources asked;
         MonotonicTime reported;
         double speed = 1.0;
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -34,6 +34,8 @@
 constexpr Duration SilentAfter = std::chrono::milliseconds(900);
 /// The same for hosts that tell of themselves only each second.
 constexpr Duration FarSilentAfter = std::chrono::milliseconds(2500);
+/// How long a host that is no longer listed stays connected after it was heard last.
+constexpr Duration UnlistedKept = std::chrono::seconds(5);
 /// By then a holder that hears nothing has stopped our runs: it has missed what we sent for
 /// SilentAfter, which we stopped sending that long after we heard it last, and a stop takes 50 ms.
 /// One that died lets them lapse sooner.
@@ -184,7 +186,9 @@
 void BatchHost::setMembership(const HostMembership &membership)
 {
     m_membership = membership;
-    m_mesh.setHosts(membership.hosts);
+    for (const PeerHost &host : membership.hosts)
+        m_known[host.name] = host;
+    connectHosts();
     m_holder.assign(membership, m_settings.name);
     for (const PeerHost &host : membership.hosts)
         m_heard.emplace(host.name, m_clock.now());
@@ -192,6 +196,22 @@
     claimMoved();
 }
 
+// Listed hosts, and those that are no longer listed but heard: they may be cut off from the store
+// alone, and have clients.
+void BatchHost::connectHosts()
+{
+    std::vector<PeerHost> hosts = m_membership.hosts;
+    for (const auto &[name, host] : m_known) {
+        const auto isSame = [&known = name](const PeerHost &listed) {
+            return listed.name == known;
+        };
+        const bool isListed = std::any_of(hosts.begin(), hosts.end(), isSame);
+        if (!isListed && m_clock.now() - lastHeard(name) < UnlistedKept)
+            hosts.push_back(host);
+    }
+    m_mesh.setHosts(hosts);
+}
+
 // All hosts while they are few, else those of the own data centre: then its executors go first,
 // since what is known of the others is older.
 void BatchHost::chooseNearHosts()
@@ -209,6 +229,14 @@
     m_scheduler.setShare(1.0 / static_cast<double>(hosts));
 }
 
+// Who takes starts is who reports room: a host that is cut off from the store doesn't know the
+// membership under which others hold.
+std::string BatchHost::reporterOf(std::size_t executor) const
+{
+    const std::string reporter = m_view.holderOf(executor);
+    return reporter.empty() ? holderOfExecutor(executor) : reporter;
+}
+
 std::string BatchHost::holderOfExecutor(std::size_t executor) const
 {
     const auto found = m_executors.find(m_view.idOf(executor));
@@ -238,7 +266,7 @@
 
 void BatchHost::startTask(const TaskStart &start)
 {
-    const std::string holder = holderOfExecutor(start.executor);
+    const std::string holder = reporterOf(start.executor);
     m_placed[start.run] = {start.executor, start.demand, holder, m_clock.now()};
     if (holder == m_settings.name) {
         startHere(start);
@@ -413,6 +441,8 @@
         tellWaiting();
     }
     const bool isForAll = m_heartbeats++ % HeartbeatsForAll == 0;
+    if (isForAll)
+        connectHosts();
     sendRoom(rooms, isForAll ? m_mesh.connectedHosts() : heartbeatHosts());
     if (m_clock.now() >= m_loadDue)
         logLoad();
@@ -438,6 +468,8 @@
     std::set<std::string> hosts(m_nearHosts.begin(), m_nearHosts.end());
     for (const std::string &owner : m_runs.owners())
         hosts.insert(owner);
+    for (const std::string &host : m_waitingHosts)
+        hosts.insert(host);
     for (const auto &[run, placed] : m_placed)
         hosts.insert(placed.holder);
     return {hosts.begin(), hosts.end()};
@@ -556,7 +588,7 @@
     const std::vector<std::string> &executors = *frame.roomExecutors;
     for (std::size_t i = 0; i < executors.size() && (i + 1) * RoomParts <= room.size(); ++i) {
         const std::int64_t *const parts = &room[i * RoomParts];
-        m_view.report({executors[i], {parts[0], parts[1], parts[2]}});
+        m_view.report({executors[i], {parts[0], parts[1], parts[2]}, frame.host});
     }
 }
 
@@ -631,11 +663,21 @@
         if (host.name == m_settings.name || now - lastHeard(host.name) < limit)
             continue;
         m_waitingHosts.erase(host.name);
-        m_mesh.redial(host.name);
+        redial(host.name);
         giveUpRunsAt(host.name, lastHeard(host.name));
     }
 }
 
+// A host that takes connections and says nothing would be dialled at each check.
+void BatchHost::redial(const std::string &host)
+{
+    MonotonicTime &next = m_nextRedial[host];
+    if (m_clock.now() < next)
+        return;
+    next = m_clock.now() + FarSilentAfter;
+    m_mesh.redial(host);
+}
+
 void BatchHost::giveUpRunsAt(const std::string &host, MonotonicTime lastHeard)
 {
     std::vector<RunId> over;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -89,6 +89,8 @@
     void jobEnded(JobNumber job, const BatchResult &result) override;
 
     void chooseNearHosts();
+    void connectHosts();
+    [[nodiscard]] std::string reporterOf(std::size_t executor) const;
     [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
     void startHere(const TaskStart &start);
     void runEnded(const RunEnd &end);
@@ -113,6 +115,7 @@
     void claimMoved();
     void addClaim(Frame &frame, const RunId &run, const Placed &placed) const;
     void checkSilence();
+    void redial(const std::string &host);
     void giveUpRunsAt(const std::string &host, MonotonicTime lastHeard);
     [[nodiscard]] MonotonicTime lastHeard(const std::string &host) const;
     void placeSoon();
@@ -133,6 +136,9 @@
     std::map<std::string, ExecutorRegistration> m_executors;
     std::map<RunId, Placed> m_placed;
     std::map<std::string, MonotonicTime> m_heard;
+    /// All hosts that were ever listed.
+    std::map<std::string, PeerHost> m_known;
+    std::map<std::string, MonotonicTime> m_nextRedial;
     std::unordered_map<JobNumber, ResultHandler> m_handlers;
     /// Room that was not told yet: to anyone, and to hosts with waiting jobs.
     std::map<std::string, Resources> m_unsentRoom;
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -285,7 +285,7 @@
     std::vector<RoomReport> reports;
     for (const auto &[id, entry] : m_entries) {
         if (entry->executor.isHeld())
-            reports.push_back({id, entry->executor.room()});
+            reports.push_back({id, entry->executor.room(), m_self});
     }
     return reports;
 }
@@ -308,7 +308,7 @@
     for (const std::string &id : m_changed) {
         const auto found = m_entries.find(id);
         if (found != m_entries.end() && found->second->executor.isHeld())
-            reports.push_back({id, found->second->executor.room()});
+            reports.push_back({id, found->second->executor.room(), m_self});
     }
     m_changed.clear();
     return reports;
--- a/src/lib/scheduling/roomview.cpp
+++ b/src/lib/scheduling/roomview.cpp
@@ -53,6 +53,7 @@
         return;
     Entry &entry = m_entries[*index];
     entry.room = report.room;
+    entry.holder = report.holder;
     entry.reported = m_clock.now();
     entry.hasReport = true;
 }
@@ -171,6 +172,12 @@
             }));
 }
 
+std::string RoomView::holderOf(std::size_t executor) const
+{
+    const Entry &entry = m_entries[executor];
+    return isRecent(entry) ? entry.holder : std::string();
+}
+
 const std::string &RoomView::idOf(std::size_t executor) const
 {
     return m_entries[executor].registration.id;
--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(runsOfALostHolderAreRunAgain);
     CPPUNIT_TEST(runsOfALostHolderGoOnUnderTheNext);
     CPPUNIT_TEST(executorsChangeHandsUnderRunningJobs);
+    CPPUNIT_TEST(hostThatIsNoLongerListedIsServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +140,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_b->heldRuns());
     }
 
+    // A host that is cut off from the store is dropped by the others, which take its executors over;
+    // it goes on serving its clients through them.
+    void hostThatIsNoLongerListedIsServed()
+    {
+        HostMembership membership;
+        membership.revision = 2;
+        membership.hosts.push_back({"b", "dc", "127.0.0.1:" + std::to_string(m_portB), false});
+        m_b->setMembership(membership);
+        runFor(milliseconds(500));
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return m_results.count("job") > 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Completed);
+        CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
+    }
+
 private:
     [[nodiscard]] std::unique_ptr<BatchHost> makeHost(const std::string &name, std::uint16_t port)
     {
--- a/tests/unit/scheduling/test_batchscheduler.cpp
+++ b/tests/unit/scheduling/test_batchscheduler.cpp
@@ -79,11 +79,11 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
         // The holder has reserved the room and says so: nothing is counted twice.
         acceptAll();
-        m_view->report({"e0", {4000, 65536, 0}});
+        m_view->report({"e0", {4000, 65536, 0}, "holder"});
         m_scheduler->place();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
         m_scheduler->runEnded({m_output->starts[0].run, RunOutcome::Done, milliseconds(50)});
-        m_view->report({"e0", {18000, 65536, 0}});
+        m_view->report({"e0", {18000, 65536, 0}, "holder"});
         m_scheduler->place();
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_output->starts.size());
     }
@@ -185,7 +185,7 @@
         submit(3, 1);
         freeOne();
         CPPUNIT_ASSERT_EQUAL(JobNumber{3}, m_output->starts.back().task.job);
-        m_view->report({"e0", Room});
+        m_view->report({"e0", Room, "holder"});
         m_scheduler->place();
         CPPUNIT_ASSERT_EQUAL(JobNumber{2}, m_output->starts.back().task.job);
     }
@@ -244,7 +244,7 @@
         m_scheduler->cancel(1);
         CPPUNIT_ASSERT(m_output->ends.at(1).end == BatchEnd::Cancelled);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->stops.size());
-        m_view->report({"e0", Room});
+        m_view->report({"e0", Room, "holder"});
         m_scheduler->place();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
     }
@@ -306,7 +306,7 @@
         registration.dataCentre = dataCentre;
         registration.capacity = Room;
         m_view->update(registration);
-        m_view->report({id, Room});
+        m_view->report({id, Room, "holder"});
     }
 
     void useExecutors(int count)
@@ -359,7 +359,7 @@
                     m_output->ends[number].end = BatchEnd::Refused;
             }
             const auto used = static_cast<std::int64_t>(running.size()) * Demand.cpuMillis;
-            m_view->report({"e0", {Room.cpuMillis - used, Room.memoryMb, 0}});
+            m_view->report({"e0", {Room.cpuMillis - used, Room.memoryMb, 0}, "holder"});
             m_scheduler->place();
             for (; seen < m_output->starts.size(); ++seen) {
                 running.emplace(m_clock->now() + milliseconds(170), m_output->starts[seen].run);
@@ -390,7 +390,7 @@
     void freeOne()
     {
         acceptAll();
-        m_view->report({"e0", {14000, 65536, 0}});
+        m_view->report({"e0", {14000, 65536, 0}, "holder"});
         m_scheduler->place();
     }
 
