Connections that can't be opened are given up after 0.4 s

The new probes end a watch within the cut; the next connection's opening packet was lost in it and sent again only after 1, 2 and 4 s, under the watch's own limit of 13 s. Ruled out: the store (other hosts had the version in time). Change: 0.4 s to open a connection; pauses between attempts grow to 0.4 s, with as much jitter.

--- a/src/daemon/loop/httpclient.cpp
+++ b/src/daemon/loop/httpclient.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+/// A lost opening packet is sent again only after a second, then two: a new attempt is sooner.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// Several round trips between data centres, and less than a caller waits.
 constexpr auto UnacknowledgedLimit = std::chrono::milliseconds(1000);
 
@@ -63,7 +65,7 @@
 
     void open(OpenCall call)
     {
-        take(std::move(call));
+        take(std::move(call), ConnectTimeout);
         m_socket.async_connect(m_state->server, [self = shared_from_this()](error_code error) {
             self->connected(error);
         });
@@ -72,7 +74,7 @@
     void send(OpenCall call)
     {
         --m_state->idle;
-        take(std::move(call));
+        take(std::move(call), Duration::max());
         write();
     }
 
@@ -84,10 +86,17 @@
     }
 
 private:
-    void take(OpenCall call)
+    void take(OpenCall call, Duration limit)
     {
         m_call = std::move(call);
-        m_deadline = m_state->timers.at(m_call->deadline, [weak = weak_from_this()] {
+        const Duration left = m_call->deadline - std::chrono::steady_clock::now();
+        limitTime(std::min(left, limit));
+    }
+
+    void limitTime(Duration limit)
+    {
+        m_state->timers.cancel(m_deadline);
+        m_deadline = m_state->timers.after(limit, [weak = weak_from_this()] {
             if (const auto self = weak.lock())
                 self->fail("no answer in time");
         });
@@ -102,6 +111,7 @@
             return;
         }
         m_isOpen = true;
+        limitTime(m_call->deadline - std::chrono::steady_clock::now());
         setPromptDelivery(m_socket, UnacknowledgedLimit);
         setShortProbes(m_socket);
         write();
--- a/src/daemon/loop/prefixfollower.h
+++ b/src/daemon/loop/prefixfollower.h
@@ -25,7 +25,7 @@
     Duration watchWait = std::chrono::seconds(10);
     /// First pause after a failed call, doubled up to the longest, with as much jitter.
     Duration firstRetry = std::chrono::milliseconds(100);
-    Duration longestRetry = std::chrono::seconds(1);
+    Duration longestRetry = std::chrono::milliseconds(400);
 };
 
 /// \brief Follows one prefix of the store: reads it once, then watches it.
