Bytes that no host or executor should send end one connection, not the process

Cause: the mesh caught the parser's exceptions alone. The generated code throws others for words that it doesn't know, so an end with an unknown outcome left the event loop and took the process down; so did a refusal of an executor whose "reason" is no text. The decoder calls itself for each level: a frame of a million nested lists exhausted the stack. Ruled out: JSON of callers and of the store (parsed without recursion; each decoder catches what its generated code throws, which has no enumerations).

--- /dev/null
+++ b/src/daemon/batch/framecodec.cpp
@@ -0,0 +1,72 @@
+#include "framecodec.h"
+
+#include <exception>
+#include <string>
+
+namespace anvilmill::daemon::mesh {
+
+using wire::meshframe::MeshFrame;
+
+namespace {
+
+/// Frame, list, message, list, value, with one to spare. The decoder calls itself for each level, so
+/// that a frame of a million would exhaust the stack.
+constexpr std::size_t DeepestNesting = 6;
+
+/// Reads a document without keeping it; stops at the first level that is too deep.
+class DepthCheck final : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t &) override { return true; }
+    bool string(string_t &) override { return true; }
+    bool binary(binary_t &) override { return true; }
+    bool key(string_t &) override { return true; }
+    bool start_object(std::size_t) override { return enter(); }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t) override { return enter(); }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
+    {
+        return false;
+    }
+
+private:
+    bool enter() { return ++m_depth <= DeepestNesting; }
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+
+    std::size_t m_depth = 0;
+};
+
+} // namespace
+
+std::vector<std::uint8_t> encodeFrame(const MeshFrame &frame)
+{
+    nlohmann::json document;
+    wire::meshframe::to_json(document, frame);
+    return nlohmann::json::to_cbor(document);
+}
+
+Result<MeshFrame> decodeFrame(const std::uint8_t *data, std::size_t size)
+{
+    DepthCheck check;
+    if (!nlohmann::json::sax_parse(data, data + size, &check, nlohmann::json::input_format_t::cbor))
+        return Error{"not a document, or nested too deeply", {}};
+    // Generated code throws other exceptions than the parser's for words that it doesn't know.
+    try {
+        MeshFrame frame;
+        wire::meshframe::from_json(nlohmann::json::from_cbor(data, data + size), frame);
+        return frame;
+    } catch (const std::exception &exception) {
+        return Error{exception.what(), {}};
+    }
+}
+
+} // namespace anvilmill::daemon::mesh
--- a/src/daemon/batch/mesh.cpp
+++ b/src/daemon/batch/mesh.cpp
@@ -1,5 +1,6 @@
 #include "mesh.h"
 
+#include "batch/framecodec.h"
 #include "log.h"
 #include "loop/httpclient.h"
 #include "loop/socketoptions.h"
@@ -42,9 +43,7 @@
 
 EncodedFrame encoded(const MeshFrame &frame)
 {
-    nlohmann::json document;
-    wire::meshframe::to_json(document, frame);
-    return std::make_shared<const std::vector<std::uint8_t>>(nlohmann::json::to_cbor(document));
+    return std::make_shared<const std::vector<std::uint8_t>>(mesh::encodeFrame(frame));
 }
 
 } // namespace
@@ -321,18 +320,18 @@
     {
         limitSilence();
         const auto *const data = static_cast<const std::uint8_t *>(m_buffer.cdata().data());
+        const auto frame = mesh::decodeFrame(data, m_buffer.size());
+        if (!frame) {
+            refuse(frame.error().reason);
+            return;
+        }
+        // Whatever one host sends, the others are to be served.
         try {
-            const auto document = nlohmann::json::from_cbor(data, data + m_buffer.size());
-            MeshFrame frame;
-            wire::meshframe::from_json(document, frame);
             if (m_host.empty())
-                named(frame.host);
-            m_state->events.received(frame);
-        } catch (const nlohmann::json::exception &exception) {
-            LogEvent("peer.frameUnreadable", LogEvent::Level::Warning)
-                    .with("reason", exception.what())
-                    .with("bytes", m_buffer.size());
-            close();
+                named(frame->host);
+            m_state->events.received(*frame);
+        } catch (const std::exception &exception) {
+            refuse(exception.what());
             return;
         }
         m_buffer.consume(m_buffer.size());
@@ -340,6 +339,15 @@
             read();
     }
 
+    void refuse(const std::string &reason)
+    {
+        LogEvent("peer.frameUnreadable", LogEvent::Level::Warning)
+                .with("host", m_host)
+                .with("reason", reason)
+                .with("bytes", m_buffer.size());
+        close();
+    }
+
     std::shared_ptr<State> m_state;
     Socket m_socket;
     boost::beast::flat_buffer m_buffer;
@@ -440,6 +448,12 @@
         found->second->broken("silent");
 }
 
+bool Mesh::isConnected(const std::string &host) const
+{
+    const auto found = m_state->links.find(host);
+    return found != m_state->links.end() && found->second->isConnected();
+}
+
 std::vector<std::string> Mesh::connectedHosts() const
 {
     std::vector<std::string> hosts;
--- a/src/daemon/batch/mesh.h
+++ b/src/daemon/batch/mesh.h
@@ -55,6 +55,8 @@
     /// \brief Gives up the connection to \p host and makes it anew.
     void redial(const std::string &host);
 
+    [[nodiscard]] bool isConnected(const std::string &host) const;
+
     /// \brief The hosts that frames can be sent to.
     [[nodiscard]] std::vector<std::string> connectedHosts() const;
 
--- /dev/null
+++ b/tests/system/batch/test_meshinput.cpp
@@ -0,0 +1,156 @@
+#include "batch/mesh.h"
+#include "loop/timerqueue.h"
+
+#include "anvilmill/clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/websocket.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <vector>
+
+using namespace anvilmill;
+using namespace anvilmill::daemon;
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+using Bytes = std::vector<std::uint8_t>;
+
+Bytes cborOf(const char *json)
+{
+    return nlohmann::json::to_cbor(nlohmann::json::parse(json));
+}
+
+} // namespace
+
+/// Frames that no entry host sends end their connection and nothing else.
+class MeshInputTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MeshInputTest);
+    CPPUNIT_TEST(goodFrameIsTaken);
+    CPPUNIT_TEST(unknownWordEndsTheConnectionAlone);
+    CPPUNIT_TEST(wrongTypesEndTheConnectionAlone);
+    CPPUNIT_TEST(deepNestingEndsTheConnectionAlone);
+    CPPUNIT_TEST(bytesThatAreNoDocumentEndTheConnectionAlone);
+    CPPUNIT_TEST(failingHandlerEndsTheConnectionAlone);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<boost::asio::io_context>(1);
+        m_timers = std::make_unique<TimerQueue>(*m_loop, m_clock);
+        static std::uint16_t port = 42700;
+        m_address = {boost::asio::ip::make_address_v4("127.0.0.1"), port++};
+        m_received = 0;
+        m_handlerFails = false;
+        m_mesh = std::make_unique<Mesh>(*m_loop, *m_timers, "host", m_address,
+                                        MeshEvents{[this](const wire::meshframe::MeshFrame &) {
+                                                       if (m_handlerFails)
+                                                           throw std::out_of_range("handler");
+                                                       ++m_received;
+                                                   },
+                                                   [](const std::string &) {}});
+    }
+
+    void tearDown() override
+    {
+        m_mesh.reset();
+        m_timers->clear();
+        m_timers.reset();
+        m_loop.reset();
+    }
+
+    void goodFrameIsTaken()
+    {
+        CPPUNIT_ASSERT(!isEndedBy(cborOf(R"({"host":"other","waiting":0})")));
+        CPPUNIT_ASSERT_EQUAL(1, m_received);
+    }
+
+    void unknownWordEndsTheConnectionAlone()
+    {
+        CPPUNIT_ASSERT(isEndedBy(cborOf(
+                R"({"host":"other","ends":[{"task":"t","run":1,"executor":"e","outcome":"burst"}]})")));
+        goodFrameIsTaken();
+    }
+
+    void wrongTypesEndTheConnectionAlone()
+    {
+        for (const char *const frame :
+             {R"({"host":5})", R"({"host":"other","starts":7})", R"([1,2])", R"({"waiting":1})",
+              R"({"host":"other","jobs":[{}]})"})
+            CPPUNIT_ASSERT(isEndedBy(cborOf(frame)));
+        goodFrameIsTaken();
+    }
+
+    void deepNestingEndsTheConnectionAlone()
+    {
+        constexpr std::size_t Depth = 1000000;
+        constexpr std::uint8_t ArrayOfOne = 0x81;
+        Bytes frame(Depth, ArrayOfOne);
+        frame.push_back(0);
+        CPPUNIT_ASSERT(isEndedBy(frame));
+        goodFrameIsTaken();
+    }
+
+    void bytesThatAreNoDocumentEndTheConnectionAlone()
+    {
+        for (const Bytes &frame : {Bytes{}, Bytes{0xff}, Bytes{0xbf, 0x61}, Bytes(100, 0xa1)})
+            CPPUNIT_ASSERT(isEndedBy(frame));
+        goodFrameIsTaken();
+    }
+
+    void failingHandlerEndsTheConnectionAlone()
+    {
+        m_handlerFails = true;
+        CPPUNIT_ASSERT(isEndedBy(cborOf(R"({"host":"other"})")));
+        m_handlerFails = false;
+        goodFrameIsTaken();
+    }
+
+private:
+    using Socket = boost::beast::websocket::stream<tcp::socket, false>;
+
+    /// Sends a frame over a connection of its own; true if the mesh closes the connection.
+    bool isEndedBy(const Bytes &frame)
+    {
+        Socket socket(*m_loop);
+        boost::beast::flat_buffer buffer;
+        bool isSent = false;
+        bool isEnded = false;
+        socket.next_layer().async_connect(m_address, [&](boost::system::error_code) {
+            socket.async_handshake("127.0.0.1", "/", [&](boost::system::error_code) {
+                socket.binary(true);
+                socket.async_write(boost::asio::buffer(frame),
+                                   [&](boost::system::error_code, std::size_t) { isSent = true; });
+                socket.async_read(buffer, [&](boost::system::error_code error, std::size_t) {
+                    isEnded = static_cast<bool>(error);
+                });
+            });
+        });
+        const int before = m_received;
+        const MonotonicTime limit = m_clock.now() + seconds(5);
+        while (!(isSent && (isEnded || m_received > before)) && m_clock.now() < limit)
+            m_loop->run_for(milliseconds(5));
+        const bool result = isEnded;
+        boost::system::error_code ignored;
+        socket.next_layer().close(ignored);
+        m_loop->run_for(milliseconds(20));
+        return result;
+    }
+
+    SystemClock m_clock;
+    std::unique_ptr<boost::asio::io_context> m_loop;
+    std::unique_ptr<TimerQueue> m_timers;
+    std::unique_ptr<Mesh> m_mesh;
+    tcp::endpoint m_address;
+    int m_received = 0;
+    bool m_handlerFails = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MeshInputTest);
--- /dev/null
+++ b/tests/system/fleet/test_executoranswers.cpp
@@ -0,0 +1,125 @@
+#include "fleetexecutors.h"
+#include "loop/httpserver.h"
+#include "loop/timerqueue.h"
+
+#include "anvilmill/clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+
+using namespace anvilmill;
+using namespace anvilmill::daemon;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Answers of executors that are not as agreed, over real connections.
+class ExecutorAnswersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExecutorAnswersTest);
+    CPPUNIT_TEST(refusalWithoutAWordIsARefusal);
+    CPPUNIT_TEST(refusalsAreToldApart);
+    CPPUNIT_TEST(holdThatCannotBeReadIsNoAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<boost::asio::io_context>(1);
+        m_timers = std::make_unique<TimerQueue>(*m_loop, m_clock);
+        static std::uint16_t port = 42800;
+        const boost::asio::ip::tcp::endpoint address{boost::asio::ip::make_address_v4("127.0.0.1"),
+                                                     port};
+        m_registration.id = "e1";
+        m_registration.address = "127.0.0.1:" + std::to_string(port++);
+        m_server = std::make_unique<HttpServer>(*m_loop, *m_timers, address, HttpServerLimits{},
+                                                [this](const auto &exchange) {
+                                                    exchange->respond({m_status, m_body, {}});
+                                                });
+        m_executors = std::make_unique<fleet::FleetExecutors>(*m_loop, *m_timers);
+    }
+
+    void tearDown() override
+    {
+        m_executors.reset();
+        m_server.reset();
+        m_timers->clear();
+        m_timers.reset();
+        m_loop.reset();
+    }
+
+    void refusalWithoutAWordIsARefusal()
+    {
+        for (const char *const body : {R"({"reason":5})", R"({"reason":null})", R"({"reason":{}})",
+                                       R"([])", "", "{", R"({"clock_ms":"x"})"})
+            CPPUNIT_ASSERT(start(409, body) == StartAnswer::Refused);
+    }
+
+    void refusalsAreToldApart()
+    {
+        CPPUNIT_ASSERT(start(409, R"({"reason":"fence"})") == StartAnswer::Fenced);
+        CPPUNIT_ASSERT(start(409, R"({"reason":"old"})") == StartAnswer::Superseded);
+        CPPUNIT_ASSERT(start(409, R"({"reason":"room"})") == StartAnswer::Refused);
+        CPPUNIT_ASSERT(start(503, "") == StartAnswer::Refused);
+        CPPUNIT_ASSERT(start(200, "") == StartAnswer::Started);
+    }
+
+    void holdThatCannotBeReadIsNoAnswer()
+    {
+        for (const char *const body :
+             {"", "[]", "{", R"({"clock_ms":"soon","active":[],"ended_runs":[]})",
+              R"({"clock_ms":1,"active":[[]],"ended_runs":[]})",
+              R"({"clock_ms":1,"active":[[5,"x"]],"ended_runs":[]})",
+              R"({"clock_ms":1,"active":[],"ended_runs":[[1,"t",1]]})",
+              R"({"clock_ms":1,"active":[],"ended_runs":[["a","t",1,"done",""]]})"})
+            CPPUNIT_ASSERT(hold(body) == HoldReply::Kind::Unanswered);
+        CPPUNIT_ASSERT(hold(R"({"clock_ms":1,"active":[],"ended_runs":[]})")
+                       == HoldReply::Kind::Answered);
+    }
+
+private:
+    StartAnswer start(unsigned status, const std::string &body)
+    {
+        m_status = status;
+        m_body = body;
+        std::optional<StartReply> reply;
+        m_executors->start(m_registration, {{"job.0.0.0", 1}, 7, std::nullopt}, "spec",
+                           [&](StartReply answer) { reply = answer; });
+        waitFor([&] { return reply.has_value(); });
+        CPPUNIT_ASSERT(reply->has_value());
+        return **reply;
+    }
+
+    HoldReply::Kind hold(const std::string &body)
+    {
+        m_status = 200;
+        m_body = body;
+        std::optional<HoldReply> reply;
+        m_executors->hold(m_registration, HoldOrder{},
+                          [&](const HoldReply &answer) { reply = answer; });
+        waitFor([&] { return reply.has_value(); });
+        return reply->kind;
+    }
+
+    template <typename Condition>
+    void waitFor(Condition isMet)
+    {
+        const MonotonicTime limit = m_clock.now() + seconds(5);
+        while (!isMet() && m_clock.now() < limit)
+            m_loop->run_for(milliseconds(5));
+        CPPUNIT_ASSERT(isMet());
+    }
+
+    SystemClock m_clock;
+    std::unique_ptr<boost::asio::io_context> m_loop;
+    std::unique_ptr<TimerQueue> m_timers;
+    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<fleet::FleetExecutors> m_executors;
+    ExecutorRegistration m_registration;
+    unsigned m_status = 200;
+    std::string m_body;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExecutorAnswersTest);
