--- /dev/null
+++ b/include/anvilmill/executor/neighbourhood.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "anvilmill/executor/holderassignment.h"
+
+#include <string>
+#include <vector>
+
+namespace anvilmill {
+
+/// \brief Which other entry hosts one host has to do with, under the membership that it adopted.
+///
+/// Load pattern: with hundreds of hosts, a connection and a heartbeat between each two would take
+/// most of a weak host's processor. Dispatchers are connected to each other and to the hosts of
+/// their data centre; a host that dispatches nothing is connected to its data centre's dispatchers.
+///
+/// Thread safety: one thread at a time.
+class Neighbourhood
+{
+public:
+    Neighbourhood(std::string self, std::string dataCentre);
+
+    void adopt(const HostMembership &membership);
+
+    [[nodiscard]] const HolderAssignment &assignment() const noexcept { return m_assignment; }
+
+    /// \brief True if this host schedules jobs and holds executors.
+    [[nodiscard]] bool isDispatcher() const noexcept { return m_isDispatcher; }
+
+    /// \brief The hosts to be connected to.
+    [[nodiscard]] const std::vector<PeerHost> &neighbours() const noexcept { return m_neighbours; }
+
+    /// \brief Neighbours that hear of this host each heartbeat: those of its data centre.
+    [[nodiscard]] const std::vector<std::string> &closeHosts() const noexcept { return m_close; }
+
+    /// \brief Dispatchers that hear of room as it changes: all while they are few, else those of the
+    /// own data centre. None if this host holds no executors.
+    [[nodiscard]] const std::vector<std::string> &nearDispatchers() const noexcept
+    {
+        return m_nearDispatchers;
+    }
+
+    /// \brief True while all dispatchers hear of room as it changes.
+    [[nodiscard]] bool isSmall() const noexcept { return m_isSmall; }
+
+    /// \brief False for listed hosts that place no tasks. A host that is no longer listed may.
+    [[nodiscard]] bool needsRoom(const std::string &host) const;
+
+private:
+    [[nodiscard]] bool isNeighbour(const PeerHost &host) const;
+
+    std::string m_self;
+    std::string m_dataCentre;
+    HostMembership m_membership;
+    HolderAssignment m_assignment;
+    std::vector<PeerHost> m_neighbours;
+    std::vector<std::string> m_close;
+    std::vector<std::string> m_nearDispatchers;
+    bool m_isDispatcher = false;
+    bool m_isSmall = true;
+};
+
+} // namespace anvilmill
--- a/include/anvilmill/scheduling/batchjob.h
+++ b/include/anvilmill/scheduling/batchjob.h
@@ -80,6 +80,8 @@
     /// The executor that the job waited for last: of a run that is open, else of the last to end.
     std::string lastExecutor;
     Duration lastRan{};
+    /// The host that scheduled the job, if it was handed over.
+    std::string dispatcher = {};
 };
 
 /// \brief An order to start one task of a batch job.
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -25,7 +25,7 @@
 
 /// All room is told this often, so that a host that is cut off shows by its silence.
 constexpr Duration AllRoomInterval = std::chrono::milliseconds(250);
-/// Hosts that share no runs with this one hear each fourth telling.
+/// Hosts of other data centres that share no runs with this one hear each fourth telling.
 constexpr std::size_t HeartbeatsForAll = 4;
 /// Room that was told longer ago is not counted on: three tellings were missed.
 constexpr Duration RoomStaleAfter = std::chrono::milliseconds(900);
@@ -38,9 +38,6 @@
 /// SilentAfter, which we stopped sending that long after we heard it last, and a stop takes 50 ms.
 /// One that died lets them lapse sooner.
 constexpr Duration RunsOverAfter = std::chrono::milliseconds(2300);
-/// Hosts that hear of room as it changes; each costs a frame for each of them. A data centre with
-/// as many has room enough of its own in most moments.
-constexpr std::size_t MostNearHosts = 8;
 constexpr Duration LoadInterval = std::chrono::seconds(1);
 /// Reading two clocks one after the other takes far less.
 constexpr Duration SuspensionTolerance = std::chrono::milliseconds(100);
@@ -70,9 +67,17 @@
               [this](const std::string &host) { hostConnected(host); }})
     , m_teller(m_mesh, timers, settings.name)
     , m_peers(clock)
+    , m_relay(m_mesh, timers, clock, random, m_peers)
+    , m_relayed(m_mesh, clock,
+                {[this](BatchJob job, ResultHandler handler) {
+                     return schedule(++m_lastJob, std::move(job), std::move(handler));
+                 },
+                 [this](JobNumber job) { cancel(job); }})
     , m_runs(clock)
     , m_earlyClaims(clock)
     , m_suspension(SuspensionTolerance)
+    , m_neighbourhood(settings.name, settings.dataCentre)
+    , m_lastJob(settings.firstJob)
     , m_timers(timers)
 {
     sendAllRoom();
@@ -92,6 +97,14 @@
     placeSoon();
 }
 
+void BatchHost::forgetExecutors()
+{
+    const auto executors = std::move(m_executors);
+    m_executors.clear();
+    for (const auto &[id, registration] : executors)
+        removeExecutor(id);
+}
+
 void BatchHost::removeExecutor(const std::string &executor)
 {
     m_executors.erase(executor);
@@ -101,33 +114,33 @@
 
 void BatchHost::setMembership(const HostMembership &membership)
 {
-    m_membership = membership;
-    m_peers.setListed(membership.hosts);
+    const bool wasDispatcher = isDispatcher();
+    m_neighbourhood.adopt(membership);
+    if (isDispatcher() != wasDispatcher)
+        LogEvent("host.roleChanged")
+                .with("dispatches", isDispatcher())
+                .with("membership", membership.revision);
+    m_peers.setListed(membership.hosts, m_neighbourhood.neighbours());
     m_mesh.setHosts(m_peers.hostsToConnect());
-    m_holder.assign(membership, m_settings.name);
-    chooseNearHosts();
+    m_holder.assign(m_neighbourhood.assignment(), m_settings.name);
+    useNeighbourhood();
     claimMoved();
     for (const RunClaim &claim : m_earlyClaims.takeAll())
         takeClaim(claim);
 }
 
-// All hosts while they are few, else those of the own data centre: then its executors go first,
-// since what is known of the others is older.
-void BatchHost::chooseNearHosts()
+// In a large fleet executors of the own data centre go first, since what is known of the others is
+// older.
+void BatchHost::useNeighbourhood()
 {
-    std::vector<std::string> nearHosts;
-    const bool isSmall = m_membership.hosts.size() <= MostNearHosts + 1;
-    for (const PeerHost &host : m_membership.hosts) {
-        const bool isNear = isSmall || host.dataCentre == m_settings.dataCentre;
-        if (isNear && host.name != m_settings.name)
-            nearHosts.push_back(host.name);
-    }
-    m_teller.setNearHosts(std::move(nearHosts));
+    const HolderAssignment &assignment = m_neighbourhood.assignment();
+    const bool isSmall = m_neighbourhood.isSmall();
+    m_teller.setNearHosts(m_neighbourhood.nearDispatchers());
+    m_relay.setDispatchers(assignment.dispatchersOf(m_settings.dataCentre));
     m_view.setOwnDataCentreFirst(!isSmall);
     m_view.setFirstHost(m_settings.name);
     m_view.setStaleAfter(isSmall ? RoomStaleAfter : FarSilentAfter);
-    const std::size_t hosts = std::max<std::size_t>(1, m_membership.hosts.size());
-    m_scheduler.setShare(1.0 / static_cast<double>(hosts));
+    m_scheduler.setShare(isDispatcher() ? assignment.shareOf(m_settings.name) : 1.0);
 }
 
 // Who takes starts is who reports room: a host that is cut off from the store doesn't know the
@@ -143,13 +156,22 @@
     const auto found = m_executors.find(m_view.idOf(executor));
     if (found == m_executors.end())
         return {};
-    return holderOf(found->first, found->second.dataCentre, m_membership).value_or("");
+    return m_neighbourhood.assignment()
+            .holderOf(found->first, found->second.dataCentre)
+            .value_or("");
 }
 
 std::optional<JobNumber> BatchHost::submit(BatchJob job, ResultHandler handler)
 {
     checkSuspension();
     const JobNumber number = ++m_lastJob;
+    if (!isDispatcher() && m_relay.relay(number, job, handler))
+        return number;
+    return schedule(number, std::move(job), std::move(handler));
+}
+
+std::optional<JobNumber> BatchHost::schedule(JobNumber number, BatchJob job, ResultHandler handler)
+{
     if (const auto refusal = m_scheduler.submit(number, std::move(job))) {
         handler({BatchEnd::Refused, refusal->cause, refusal->retryAfter, 0, {}, "", {}});
         return std::nullopt;
@@ -161,6 +183,7 @@
 
 void BatchHost::cancel(JobNumber job)
 {
+    m_relay.cancel(job);
     m_scheduler.cancel(job);
     placeSoon();
 }
@@ -317,7 +340,12 @@
     const bool isForAll = m_heartbeats++ % HeartbeatsForAll == 0;
     if (isForAll)
         m_mesh.setHosts(m_peers.hostsToConnect());
-    m_teller.tell(rooms, isForAll ? m_mesh.connectedHosts() : heartbeatHosts());
+    std::vector<std::string> placing;
+    std::vector<std::string> others;
+    for (const std::string &host : isForAll ? m_mesh.connectedHosts() : heartbeatHosts())
+        (m_neighbourhood.needsRoom(host) ? placing : others).push_back(host);
+    m_teller.tell(rooms, placing);
+    m_teller.tell({}, others);
     if (m_clock.now() >= m_loadDue)
         logLoad();
     m_timers.after(AllRoomInterval, [this] { sendAllRoom(); });
@@ -335,12 +363,15 @@
                        static_cast<double>(m_mesh.connectedHosts().size()));
 }
 
-// Hosts that have to know soon when this one is gone: the near ones, and those whose runs are here
-// or which have runs of this host's jobs. They count this one among theirs too.
+// Hosts that have to know soon when this one is gone: those of its data centre, and those whose runs
+// or jobs are here or which have runs or jobs of this host. They count this one among theirs too.
 std::vector<std::string> BatchHost::heartbeatHosts() const
 {
     std::set<std::string> hosts = m_runs.owners();
-    hosts.insert(m_teller.nearHosts().begin(), m_teller.nearHosts().end());
+    const std::vector<std::string> &close = m_neighbourhood.closeHosts();
+    hosts.insert(close.begin(), close.end());
+    for (const std::set<std::string> &sharing : {m_relay.hosts(), m_relayed.hosts()})
+        hosts.insert(sharing.begin(), sharing.end());
     hosts.insert(m_teller.waitingHosts().begin(), m_teller.waitingHosts().end());
     for (const auto &[run, placed] : m_placed)
         hosts.insert(placed.holder);
@@ -368,6 +399,10 @@
 {
     checkSuspension();
     m_peers.heard(frame.host);
+    if (m_frameListener)
+        m_frameListener(frame);
+    m_relay.received(frame);
+    m_relayed.received(frame);
     if (frame.waiting)
         m_teller.setWaiting(frame.host, *frame.waiting > 0);
     takeReplies(frame);
@@ -457,6 +492,7 @@
     if (!frame)
         return;
     frame->areAllClaims = true;
+    m_relay.addOpenJobs(*frame, host);
     for (const auto &[run, placed] : m_placed) {
         if (placed.holder == host)
             addClaim(*frame, run, placed);
@@ -499,8 +535,15 @@
         if (m_peers.silence(owner) >= SilentAfter)
             stopRunsOf(owner);
     }
+    for (const std::string &owner : m_relayed.hosts()) {
+        if (m_peers.silence(owner) >= SilentAfter)
+            LogEvent("peer.silent", LogEvent::Level::Warning)
+                    .with("host", owner)
+                    .with("silent", m_peers.silence(owner))
+                    .with("cancelledJobs", m_relayed.giveUp(owner));
+    }
     const std::vector<std::string> expected = heartbeatHosts();
-    for (const PeerHost &host : m_membership.hosts) {
+    for (const PeerHost &host : m_peers.neighbours()) {
         const bool isExpected =
                 std::find(expected.begin(), expected.end(), host.name) != expected.end();
         const Duration limit = isExpected ? SilentAfter : FarSilentAfter;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "anvilmill/clock.h"
+#include "anvilmill/executor/neighbourhood.h"
 #include "anvilmill/executor/suspensiondetector.h"
 #include "anvilmill/scheduling/batchscheduler.h"
 #include "anvilmill/scheduling/roomview.h"
 #include "batch/earlyclaims.h"
 #include "batch/holderservice.h"
+#include "batch/jobrelay.h"
 #include "batch/mesh.h"
 #include "batch/peerwatch.h"
+#include "batch/relayedjobs.h"
 #include "batch/roomteller.h"
 #include "batch/runbook.h"
 #include "loop/timerscope.h"
@@ -29,12 +32,15 @@
     std::string dataCentre;
     boost::asio::ip::tcp::endpoint meshAddress;
     HoldSettings hold;
+    /// Jobs are numbered from here on; above all numbers of the host's earlier processes.
+    JobNumber firstJob = 0;
 };
 
 /// \brief Dispatches batch jobs over the executors that all entry hosts share.
 ///
-/// Jobs are scheduled by the host that took them in. Each executor is held by one host, which
-/// starts what the others ask for; hosts tell each other the room that they hold.
+/// Jobs are scheduled by the host that took them in if it is a dispatcher, else by a dispatcher of
+/// its data centre. Each executor is held by one dispatcher, which starts what the others ask for;
+/// dispatchers tell each other the room that they hold.
 ///
 /// Thread safety: used by the loop's thread alone.
 class BatchHost : private BatchOutput
@@ -50,8 +56,29 @@
 
     void updateExecutor(const ExecutorRegistration &registration);
     void removeExecutor(const std::string &executor);
+    /// \brief Forgets all executors, when a host that dispatches no more stops following them.
+    void forgetExecutors();
+
     void setMembership(const HostMembership &membership);
 
+    /// \brief The dispatchers of this host's data centre, the strongest first.
+    [[nodiscard]] const std::vector<PeerHost> &dispatchersHere() const
+    {
+        return m_neighbourhood.assignment().dispatchersOf(m_settings.dataCentre);
+    }
+
+    /// \brief The connections to other hosts, for what they tell each other beside jobs and runs.
+    [[nodiscard]] Mesh &mesh() noexcept { return m_mesh; }
+
+    /// \brief Calls \p listener with each frame, before it is taken here.
+    void onFrame(std::function<void(const wire::meshframe::MeshFrame &)> listener)
+    {
+        m_frameListener = std::move(listener);
+    }
+
+    /// \brief True if this host has to know the executors.
+    [[nodiscard]] bool isDispatcher() const noexcept { return m_neighbourhood.isDispatcher(); }
+
     /// \brief Runs a job; \p handler is called once with its end, perhaps from within.
     ///
     /// Returns the number to cancel it by, or nothing if it was refused.
@@ -60,15 +87,22 @@
     /// \brief Ends the job as cancelled, for instance since its client has gone.
     void cancel(JobNumber job);
 
-    [[nodiscard]] bool hasStarted(JobNumber job) const { return m_scheduler.hasStarted(job); }
+    /// \brief True if a task of the job may have started; always so once it was handed over.
+    [[nodiscard]] bool hasStarted(JobNumber job) const
+    {
+        return m_relay.has(job) || m_scheduler.hasStarted(job);
+    }
     [[nodiscard]] std::size_t waitingJobs(const std::string &route) const
     {
         return m_scheduler.waitingJobs(route);
     }
-    [[nodiscard]] std::size_t jobs() const noexcept { return m_handlers.size(); }
+    [[nodiscard]] std::size_t jobs() const noexcept { return m_handlers.size() + m_relay.open(); }
 
-    /// \brief True if the holder of any executor is heard; else no job can be started.
-    [[nodiscard]] bool reachesExecutors() const { return m_view.hasRecentReport(); }
+    /// \brief True if the holder of any executor is heard, or a dispatcher; else no job can be started.
+    [[nodiscard]] bool reachesExecutors() const
+    {
+        return m_view.hasRecentReport() || m_relay.reachesDispatcher();
+    }
 
     /// \brief Brings the gauges up to date.
     void updateGauges();
@@ -91,7 +125,8 @@
     void stopTask(std::size_t executor, const RunId &run) override;
     void jobEnded(JobNumber job, const BatchResult &result) override;
 
-    void chooseNearHosts();
+    std::optional<JobNumber> schedule(JobNumber number, BatchJob job, ResultHandler handler);
+    void useNeighbourhood();
     [[nodiscard]] std::string reporterOf(std::size_t executor) const;
     [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
     void startHere(const TaskStart &start);
@@ -131,17 +166,20 @@
     Mesh m_mesh;
     RoomTeller m_teller;
     PeerWatch m_peers;
+    JobRelay m_relay;
+    RelayedJobs m_relayed;
     RunBook m_runs;
     EarlyClaims m_earlyClaims;
     SuspensionDetector m_suspension;
-    HostMembership m_membership;
+    Neighbourhood m_neighbourhood;
     std::map<std::string, ExecutorRegistration> m_executors;
     std::map<RunId, Placed> m_placed;
     std::unordered_map<JobNumber, ResultHandler> m_handlers;
+    std::function<void(const Frame &)> m_frameListener;
     std::optional<TimerQueue::Id> m_expiryTimer;
     MonotonicTime m_loadDue;
     std::size_t m_heartbeats = 0;
-    JobNumber m_lastJob = 0;
+    JobNumber m_lastJob;
     bool m_isPlacingDue = false;
     bool m_hasToldWaiting = false;
     TimerScope m_timers;
--- a/src/daemon/batch/batchjobs.cpp
+++ b/src/daemon/batch/batchjobs.cpp
@@ -148,6 +148,8 @@
             .with("active", m_active.size());
     if (!result.lastExecutor.empty())
         event.with("lastExecutor", result.lastExecutor).with("lastRan", result.lastRan);
+    if (!result.dispatcher.empty())
+        event.with("dispatcher", result.dispatcher);
     if (!result.cause.empty())
         event.with("cause", result.cause).with("retryAfter", result.retryAfter);
 }
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -55,7 +55,7 @@
     if (!entry || entry->executor.registration().address != registration.address)
         entry = std::make_shared<Entry>(m_clock, m_settings, registration);
     entry->executor.update(registration);
-    assignOne(*entry, m_membership, m_self);
+    assignOne(*entry);
     noteRoom(*entry);
     hold(entry);
 }
@@ -71,33 +71,32 @@
     m_calls.forget(executor);
 }
 
-void HolderService::assign(const HostMembership &membership, const std::string &self)
+void HolderService::assign(const HolderAssignment &assignment, const std::string &self)
 {
-    m_membership = membership;
+    m_assignment = assignment;
     m_self = self;
     for (const auto &[id, entry] : m_entries) {
-        assignOne(*entry, membership, self);
+        assignOne(*entry);
         hold(entry);
     }
 }
 
-void HolderService::assignOne(Entry &entry, const HostMembership &membership,
-                              const std::string &self)
+void HolderService::assignOne(Entry &entry)
 {
     const ExecutorRegistration &registration = entry.executor.registration();
-    const auto holder = holderOf(registration.id, registration.dataCentre, membership);
-    const bool isOurs = holder == self;
+    const auto holder = m_assignment.holderOf(registration.id, registration.dataCentre);
+    const bool isOurs = holder == m_self;
     if (isOurs == entry.executor.isHeld())
         return;
     const std::size_t runs = entry.executor.runs();
     if (isOurs)
-        entry.executor.takeOver(membership.revision);
+        entry.executor.takeOver(m_assignment.revision());
     else
         entry.executor.release();
     m_metrics.executorChanged(isOurs ? "takenOver" : "released");
     LogEvent(isOurs ? "executor.takenOver" : "executor.released")
             .with("executor", registration.id)
-            .with("membership", membership.revision)
+            .with("membership", m_assignment.revision())
             .with("holder", holder.value_or("none"))
             .with("fence", entry.executor.fence())
             .with("runs", runs);
@@ -138,7 +137,7 @@
             LogEvent("executor.fenced", LogEvent::Level::Warning)
                     .with("executor", executor.registration().id)
                     .with("fence", order.fence)
-                    .with("membership", m_membership.revision);
+                    .with("membership", m_assignment.revision());
         }
         holdAgain(entry, HoldRetryPause);
         break;
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -43,8 +43,8 @@
     /// \brief An executor is gone; its runs are lost.
     void remove(const std::string &executor);
 
-    /// \brief Takes over and lets go of executors as \p membership says for host \p self.
-    void assign(const HostMembership &membership, const std::string &self);
+    /// \brief Takes over and lets go of executors as \p assignment says for host \p self.
+    void assign(const HolderAssignment &assignment, const std::string &self);
 
     /// \brief Starts a run on a held executor; false if there is no room or it isn't held here.
     [[nodiscard]] bool start(const std::string &executor, const RunId &run, const Resources &demand,
@@ -75,7 +75,7 @@
 private:
     struct Entry;
 
-    void assignOne(Entry &entry, const HostMembership &membership, const std::string &self);
+    void assignOne(Entry &entry);
     void hold(const std::shared_ptr<Entry> &entry);
     void holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
                       const HoldReply &reply);
@@ -94,7 +94,7 @@
     HoldSettings m_settings;
     HolderEvents m_events;
     std::map<std::string, std::shared_ptr<Entry>> m_entries;
-    HostMembership m_membership;
+    HolderAssignment m_assignment;
     std::string m_self;
     std::set<std::string> m_changed;
     bool m_isChangeAnnounced = false;
--- a/src/daemon/batch/hostregistry.cpp
+++ b/src/daemon/batch/hostregistry.cpp
@@ -18,6 +18,8 @@
     entry.peerAddress = host.peerAddress;
     entry.incarnation = static_cast<std::int64_t>(incarnation);
     entry.isLeaving = host.isLeaving;
+    if (host.milliCores > 0)
+        entry.milliCores = host.milliCores;
     nlohmann::json document;
     wire::hostentry::to_json(document, entry);
     return document.dump();
@@ -28,7 +30,8 @@
     try {
         wire::hostentry::HostEntry entry;
         wire::hostentry::from_json(nlohmann::json::parse(value), entry);
-        return PeerHost{name, entry.dataCentre, entry.peerAddress, entry.isLeaving};
+        return PeerHost{name, entry.dataCentre, entry.peerAddress, entry.isLeaving,
+                        entry.milliCores.value_or(0)};
     } catch (const nlohmann::json::exception &exception) {
         LogEvent("host.entryUnreadable", LogEvent::Level::Warning)
                 .with("host", name)
--- a/src/daemon/batch/peerwatch.cpp
+++ b/src/daemon/batch/peerwatch.cpp
@@ -8,6 +8,9 @@
 
 /// How long a host that is no longer listed stays connected after it was heard last.
 constexpr Duration UnlistedKept = std::chrono::seconds(5);
+/// How long a listed host that is no neighbour any more stays connected: callers wait less for the
+/// jobs that the two had with each other.
+constexpr Duration FormerNeighbourKept = std::chrono::seconds(5);
 /// As long as a host that tells of itself only each second may be silent.
 constexpr Duration RedialPause = std::chrono::milliseconds(2500);
 
@@ -18,10 +21,14 @@
 {
 }
 
-void PeerWatch::setListed(const std::vector<PeerHost> &hosts)
+void PeerWatch::setListed(const std::vector<PeerHost> &hosts,
+                          const std::vector<PeerHost> &neighbours)
 {
+    for (const PeerHost &host : m_neighbours)
+        m_lastNeighbour[host.name] = m_clock.now();
     m_listed = hosts;
-    for (const PeerHost &host : hosts) {
+    m_neighbours = neighbours;
+    for (const PeerHost &host : neighbours) {
         m_known[host.name] = host;
         m_heard.emplace(host.name, m_clock.now());
     }
@@ -46,18 +53,25 @@
 
 std::vector<PeerHost> PeerWatch::hostsToConnect() const
 {
-    std::vector<PeerHost> hosts = m_listed;
+    std::vector<PeerHost> hosts = m_neighbours;
     for (const auto &[name, host] : m_known) {
-        const auto isSame = [&known = name](const PeerHost &listed) {
-            return listed.name == known;
-        };
+        const auto isSame = [&known = name](const PeerHost &other) { return other.name == known; };
+        if (std::any_of(m_neighbours.begin(), m_neighbours.end(), isSame))
+            continue;
         const bool isListed = std::any_of(m_listed.begin(), m_listed.end(), isSame);
-        if (!isListed && silence(name) < UnlistedKept)
+        const bool isKept = isListed ? wasNeighbourLately(name) : silence(name) < UnlistedKept;
+        if (isKept)
             hosts.push_back(host);
     }
     return hosts;
 }
 
+bool PeerWatch::wasNeighbourLately(const std::string &host) const
+{
+    const auto found = m_lastNeighbour.find(host);
+    return found != m_lastNeighbour.end() && m_clock.now() - found->second < FormerNeighbourKept;
+}
+
 bool PeerWatch::mayRedial(const std::string &host)
 {
     MonotonicTime &next = m_nextRedial[host];
--- a/src/daemon/batch/peerwatch.h
+++ b/src/daemon/batch/peerwatch.h
@@ -18,8 +18,12 @@
     /// Precondition: \p clock outlives the watch.
     explicit PeerWatch(const Clock &clock);
 
-    /// \brief Takes the listed hosts; a new one counts as heard now.
-    void setListed(const std::vector<PeerHost> &hosts);
+    /// \brief Takes the listed hosts, and those of them to stay connected to.
+    ///
+    /// A new neighbour counts as heard now.
+    void setListed(const std::vector<PeerHost> &hosts, const std::vector<PeerHost> &neighbours);
+
+    [[nodiscard]] const std::vector<PeerHost> &neighbours() const noexcept { return m_neighbours; }
 
     void heard(const std::string &host) { m_heard[host] = m_clock.now(); }
 
@@ -30,8 +34,8 @@
     [[nodiscard]] Duration silence(const std::string &host) const;
     [[nodiscard]] MonotonicTime lastHeard(const std::string &host) const;
 
-    /// \brief Listed hosts, and those that are no longer listed but heard: they may be cut off from
-    /// the store alone, and have clients.
+    /// \brief The neighbours, those that were until lately, and hosts that are no longer listed but
+    /// heard: they may be cut off from the store alone, and have clients.
     [[nodiscard]] std::vector<PeerHost> hostsToConnect() const;
 
     /// \brief True at most once in a while for each host: one that takes connections and says
@@ -39,10 +43,14 @@
     [[nodiscard]] bool mayRedial(const std::string &host);
 
 private:
+    [[nodiscard]] bool wasNeighbourLately(const std::string &host) const;
+
     const Clock &m_clock;
     std::vector<PeerHost> m_listed;
-    /// All hosts that were ever listed.
+    std::vector<PeerHost> m_neighbours;
+    /// All hosts that were ever neighbours.
     std::map<std::string, PeerHost> m_known;
+    std::map<std::string, MonotonicTime> m_lastNeighbour;
     std::map<std::string, MonotonicTime> m_heard;
     std::map<std::string, MonotonicTime> m_nextRedial;
 };
--- /dev/null
+++ b/src/daemon/batch/relayedjobs.cpp
@@ -0,0 +1,145 @@
+#include "relayedjobs.h"
+
+#include "batch/jobmessages.h"
+#include "batch/meshmessages.h"
+#include "log.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace anvilmill::daemon {
+
+namespace {
+
+/// A connection between hosts is made anew within a second; callers wait little longer.
+constexpr Duration EndsKept = std::chrono::seconds(3);
+/// 3 s of a dispatcher's jobs at four times the load of the large site.
+constexpr std::size_t MostEnds = 5000;
+
+} // namespace
+
+RelayedJobs::RelayedJobs(Mesh &mesh, const Clock &clock, SchedulerCalls scheduler)
+    : m_mesh(mesh)
+    , m_clock(clock)
+    , m_scheduler(std::move(scheduler))
+{
+}
+
+void RelayedJobs::received(const Frame &frame)
+{
+    if (frame.openJobs)
+        compare(frame);
+    if (frame.jobCancels) {
+        for (const std::int64_t number : *frame.jobCancels)
+            cancel({frame.host, static_cast<JobNumber>(number)});
+    }
+    if (!frame.jobs)
+        return;
+    for (const auto &message : *frame.jobs) {
+        const Key key(frame.host, static_cast<JobNumber>(message.number));
+        auto job = mesh::jobOf(frame, message, m_clock.now());
+        if (job) {
+            take(key, std::move(*job));
+            continue;
+        }
+        LogEvent("job.relayUnreadable", LogEvent::Level::Warning)
+                .with("job", message.id)
+                .with("host", frame.host);
+        send(key, {BatchEnd::Refused, "relayUnreadable", {}, 0, {}, "", {}});
+    }
+}
+
+void RelayedJobs::take(const Key &key, BatchJob job)
+{
+    if (!m_jobs.emplace(key, std::nullopt).second)
+        return;
+    const auto number = m_scheduler.submit(std::move(job), [this, key](const BatchResult &result) {
+        // The end of a job that was cancelled for its host is not its answer.
+        if (m_jobs.count(key) > 0)
+            answer(key, result);
+    });
+    const auto found = m_jobs.find(key);
+    if (found != m_jobs.end())
+        found->second = number;
+}
+
+void RelayedJobs::cancel(const Key &key)
+{
+    auto node = m_jobs.extract(key);
+    if (!node.empty() && node.mapped())
+        m_scheduler.cancel(*node.mapped());
+}
+
+// What is open on one side only was lost on the way.
+void RelayedJobs::compare(const Frame &frame)
+{
+    std::set<Key> open;
+    for (const std::int64_t number : *frame.openJobs)
+        open.emplace(frame.host, static_cast<JobNumber>(number));
+    // Those that come with the list have not been taken yet.
+    if (frame.jobs) {
+        for (const auto &message : *frame.jobs)
+            open.erase({frame.host, static_cast<JobNumber>(message.number)});
+    }
+    std::vector<Key> unwanted;
+    for (const auto &[key, number] : m_jobs) {
+        if (key.first == frame.host && open.count(key) == 0)
+            unwanted.push_back(key);
+    }
+    for (const Key &key : unwanted)
+        cancel(key);
+    for (const Key &key : open) {
+        if (m_jobs.count(key) > 0)
+            continue;
+        const auto ended = m_ended.find(key);
+        // An earlier process of this host may have run it.
+        send(key, ended != m_ended.end()
+                          ? ended->second
+                          : BatchResult{BatchEnd::Broken, "lostOnTheWay", {}, 0, {}, "", {}});
+    }
+}
+
+std::size_t RelayedJobs::giveUp(const std::string &host)
+{
+    std::vector<Key> keys;
+    for (const auto &[key, number] : m_jobs) {
+        if (key.first == host)
+            keys.push_back(key);
+    }
+    for (const Key &key : keys) {
+        cancel(key);
+        // Heard again, the host learns that the job may have run in part.
+        answer(key, {BatchEnd::Broken, "hostSilent", {}, 0, {}, "", {}});
+    }
+    return keys.size();
+}
+
+std::set<std::string> RelayedJobs::hosts() const
+{
+    std::set<std::string> hosts;
+    for (const auto &[key, number] : m_jobs)
+        hosts.insert(key.first);
+    return hosts;
+}
+
+void RelayedJobs::answer(const Key &key, const BatchResult &result)
+{
+    m_jobs.erase(key);
+    const MonotonicTime now = m_clock.now();
+    m_ended[key] = result;
+    m_endOrder.emplace_back(now, key);
+    while (m_endOrder.front().first + EndsKept < now || m_endOrder.size() > MostEnds) {
+        m_ended.erase(m_endOrder.front().second);
+        m_endOrder.pop_front();
+    }
+    send(key, result);
+}
+
+void RelayedJobs::send(const Key &key, const BatchResult &result)
+{
+    Frame *const frame = m_mesh.frameFor(key.first);
+    if (frame)
+        mesh::append(frame->jobEnds, mesh::jobEndMessage(key.second, result));
+}
+
+} // namespace anvilmill::daemon
--- a/src/daemon/loop/prefixfollower.cpp
+++ b/src/daemon/loop/prefixfollower.cpp
@@ -6,6 +6,7 @@
 #include "anvilmill/randomsource.h"
 
 #include <algorithm>
+#include <exception>
 
 namespace anvilmill::daemon {
 
@@ -23,22 +24,71 @@
 
 void PrefixFollower::start()
 {
-    read();
+    if (m_isActive)
+        return;
+    m_isActive = true;
+    readAgain();
+}
+
+void PrefixFollower::stop()
+{
+    m_isActive = false;
+    m_isReachable = false;
+    m_mirror = {};
+}
+
+void PrefixFollower::setWatching(bool isWatching)
+{
+    m_isWatching = isWatching;
+    resume();
 }
 
-void PrefixFollower::refresh()
+void PrefixFollower::readAgain()
 {
     m_needsRead = true;
+    resume();
+}
+
+void PrefixFollower::resume()
+{
+    if (!m_isBusy)
+        watch();
+}
+
+void PrefixFollower::take(const StoreItems &changes)
+{
+    if (!m_isActive || m_needsRead)
+        return;
+    handle(m_mirror.takeChanges(changes));
+}
+
+// A failing handler must not end the following: the next call to the store comes after it.
+void PrefixFollower::handle(const std::vector<StoreItem> &changes)
+{
+    if (changes.empty())
+        return;
+    try {
+        m_handler(changes);
+    } catch (const std::exception &exception) {
+        LogEvent("store.changesFailed", LogEvent::Level::Error)
+                .with("prefix", m_prefix)
+                .with("changes", changes.size())
+                .with("reason", exception.what());
+    }
 }
 
 void PrefixFollower::read()
 {
+    m_isBusy = true;
     m_needsRead = false;
     m_store.readAll(m_prefix, [this](const StoreItems &answer) { readDone(answer); });
 }
 
 void PrefixFollower::watch()
 {
+    m_isBusy = m_isActive && (m_needsRead || m_isWatching);
+    if (!m_isBusy)
+        return;
     if (m_needsRead) {
         read();
         return;
@@ -49,27 +99,36 @@
 
 void PrefixFollower::readDone(const StoreItems &answer)
 {
+    if (isOutdated())
+        return;
     if (answer.outcome != CallOutcome::Done) {
         m_needsRead = true;
         failed(answer);
         return;
     }
     succeeded();
-    const std::vector<StoreItem> changes = m_mirror.takeAll(answer);
-    if (!changes.empty())
-        m_handler(changes);
+    handle(m_mirror.takeAll(answer));
     call(&PrefixFollower::watch, m_pace.watchGap);
 }
 
+// Answers to calls from before stop() say nothing of what is held since.
+bool PrefixFollower::isOutdated()
+{
+    if (m_isActive && !m_needsRead)
+        return false;
+    call(&PrefixFollower::watch, m_pace.watchGap);
+    return true;
+}
+
 void PrefixFollower::watchDone(const StoreItems &answer)
 {
+    if (isOutdated())
+        return;
     switch (answer.outcome) {
     case CallOutcome::Done:
     case CallOutcome::Unchanged: {
         succeeded();
-        const std::vector<StoreItem> changes = m_mirror.takeChanges(answer);
-        if (!changes.empty())
-            m_handler(changes);
+        handle(m_mirror.takeChanges(answer));
         call(&PrefixFollower::watch, m_pace.watchGap);
         return;
     }
--- a/src/daemon/loop/prefixfollower.h
+++ b/src/daemon/loop/prefixfollower.h
@@ -28,7 +28,8 @@
     Duration longestRetry = std::chrono::milliseconds(400);
 };
 
-/// \brief Follows one prefix of the store: reads it once, then watches it.
+/// \brief Follows one prefix of the store: reads it once, then watches it, or takes what another
+/// host has read.
 ///
 /// Reads everything again when the store no longer has the changes. Goes on with what it holds
 /// while the store can't be reached.
@@ -43,11 +44,23 @@
     PrefixFollower(AsyncStore &store, TimerQueue &timers, RandomSource &random, std::string prefix,
                    const FollowPace &pace, ChangeHandler handler);
 
-    /// \brief Begins with a read; the handler is called from then on.
+    /// \brief Begins with a read; the handler is called from then on. No effect while active.
     void start();
 
-    /// \brief Reads everything anew before the next watch.
-    void refresh();
+    /// \brief Calls neither the store nor the handler any more, and forgets what it holds, until
+    /// start() is called again.
+    void stop();
+
+    [[nodiscard]] bool isActive() const noexcept { return m_isActive; }
+
+    /// \brief Whether to watch the store after the read; true at first.
+    void setWatching(bool isWatching);
+
+    /// \brief Reads everything anew.
+    void readAgain();
+
+    /// \brief Takes changes that another host has read; no effect before the first read.
+    void take(const StoreItems &changes);
 
     [[nodiscard]] const PrefixMirror &mirror() const noexcept { return m_mirror; }
     [[nodiscard]] bool isCurrent() const noexcept { return m_isReachable; }
@@ -55,10 +68,13 @@
 private:
     void read();
     void watch();
+    void resume();
     void readDone(const StoreItems &answer);
     void watchDone(const StoreItems &answer);
+    void handle(const std::vector<StoreItem> &changes);
     void failed(const StoreItems &answer);
     void succeeded();
+    [[nodiscard]] bool isOutdated();
     void call(void (PrefixFollower::*step)(), Duration delay);
 
     AsyncStore &m_store;
@@ -71,6 +87,10 @@
     bool m_isReachable = false;
     bool m_hasFailed = false;
     bool m_needsRead = true;
+    bool m_isActive = false;
+    bool m_isWatching = true;
+    /// A call or a pause before the next one is under way.
+    bool m_isBusy = false;
     TimerScope m_timers;
 };
 
--- a/src/lib/executor/holderassignment.cpp
+++ b/src/lib/executor/holderassignment.cpp
@@ -1,12 +1,18 @@
 #include "anvilmill/executor/holderassignment.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace anvilmill {
 
 namespace {
 
+/// The dispatchers of a data centre have at least this share of its processors.
+constexpr double DispatchersShare = 0.5;
+/// Fewer would let the loss of two hosts, which has to be borne, end all dispatching.
+constexpr std::size_t LeastDispatchers = 3;
+
 // FNV-1a with a final mix: the same on every host, unlike std::hash.
 std::uint64_t hashOf(const std::string &executor, const std::string &host)
 {
@@ -25,27 +31,99 @@
     return hash ^ (hash >> Shift);
 }
 
+double strengthOf(const PeerHost &host)
+{
+    return static_cast<double>(std::max<std::int64_t>(1, host.milliCores));
+}
+
+/// Weighted rendezvous: the highest of these wins with a probability proportional to its strength.
+double scoreOf(const std::string &executor, const PeerHost &host)
+{
+    constexpr unsigned Unused = 11; // Leaves the 53 bits that a double holds exactly.
+    constexpr double Range = 9007199254740992.0;
+    const auto bits = static_cast<double>(hashOf(executor, host.name) >> Unused);
+    return -strengthOf(host) / std::log((bits + 0.5) / Range);
+}
+
+double totalStrength(const std::vector<PeerHost> &hosts)
+{
+    double total = 0.0;
+    for (const PeerHost &host : hosts)
+        total += strengthOf(host);
+    return total;
+}
+
+/// The strongest of \p hosts; equally strong ones are in or out together.
+std::vector<PeerHost> strongestOf(std::vector<PeerHost> hosts)
+{
+    std::stable_sort(hosts.begin(), hosts.end(), [](const PeerHost &left, const PeerHost &right) {
+        return strengthOf(left) > strengthOf(right);
+    });
+    const double enough = DispatchersShare * totalStrength(hosts);
+    double strength = 0.0;
+    std::size_t chosen = 0;
+    while (chosen < hosts.size()) {
+        const bool isTied =
+                chosen > 0 && strengthOf(hosts[chosen]) == strengthOf(hosts[chosen - 1]);
+        if (chosen >= LeastDispatchers && strength >= enough && !isTied)
+            break;
+        strength += strengthOf(hosts[chosen]);
+        ++chosen;
+    }
+    hosts.resize(chosen);
+    return hosts;
+}
+
 } // namespace
 
-std::optional<std::string> holderOf(const std::string &executor, const std::string &dataCentre,
-                                    const HostMembership &membership)
+HolderAssignment::HolderAssignment(const HostMembership &membership)
+    : m_revision(membership.revision)
 {
-    const auto isLocal = [&](const PeerHost &host) {
-        return !host.isLeaving && host.dataCentre == dataCentre;
-    };
-    const bool hasLocal = std::any_of(membership.hosts.begin(), membership.hosts.end(), isLocal);
-    std::optional<std::string> holder;
-    std::uint64_t highest = 0;
+    std::map<std::string, std::vector<PeerHost>> hosts;
     for (const PeerHost &host : membership.hosts) {
-        if (host.isLeaving || (hasLocal && !isLocal(host)))
-            continue;
-        const std::uint64_t hash = hashOf(executor, host.name);
-        if (holder && hash <= highest)
+        if (!host.isLeaving)
+            hosts[host.dataCentre].push_back(host);
+    }
+    for (auto &[dataCentre, local] : hosts) {
+        auto &dispatchers = m_byDataCentre[dataCentre] = strongestOf(std::move(local));
+        m_all.insert(m_all.end(), dispatchers.begin(), dispatchers.end());
+    }
+}
+
+const std::vector<PeerHost> &HolderAssignment::dispatchersOf(const std::string &dataCentre) const
+{
+    static const std::vector<PeerHost> None;
+    const auto found = m_byDataCentre.find(dataCentre);
+    return found == m_byDataCentre.end() ? None : found->second;
+}
+
+bool HolderAssignment::isDispatcher(const std::string &host) const
+{
+    return shareOf(host) > 0.0;
+}
+
+double HolderAssignment::shareOf(const std::string &host) const
+{
+    const auto found = std::find_if(m_all.begin(), m_all.end(),
+                                    [&](const PeerHost &each) { return each.name == host; });
+    return found == m_all.end() ? 0.0 : strengthOf(*found) / totalStrength(m_all);
+}
+
+std::optional<std::string> HolderAssignment::holderOf(const std::string &executor,
+                                                      const std::string &dataCentre) const
+{
+    const std::vector<PeerHost> &local = dispatchersOf(dataCentre);
+    const std::vector<PeerHost> &candidates = local.empty() ? m_all : local;
+    const PeerHost *holder = nullptr;
+    double highest = 0.0;
+    for (const PeerHost &host : candidates) {
+        const double score = scoreOf(executor, host);
+        if (holder && score <= highest)
             continue;
-        holder = host.name;
-        highest = hash;
+        holder = &host;
+        highest = score;
     }
-    return holder;
+    return holder ? std::make_optional(holder->name) : std::nullopt;
 }
 
 } // namespace anvilmill
--- /dev/null
+++ b/src/lib/executor/neighbourhood.cpp
@@ -0,0 +1,60 @@
+#include "anvilmill/executor/neighbourhood.h"
+
+#include <algorithm>
+
+namespace anvilmill {
+
+namespace {
+
+/// Dispatchers that hear of room as it changes, beside those of the own data centre; each costs a
+/// frame for each of them.
+constexpr std::size_t MostNearDispatchers = 8;
+
+} // namespace
+
+Neighbourhood::Neighbourhood(std::string self, std::string dataCentre)
+    : m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
+{
+}
+
+void Neighbourhood::adopt(const HostMembership &membership)
+{
+    m_membership = membership;
+    m_assignment = HolderAssignment(membership);
+    m_isDispatcher = m_assignment.isDispatcher(m_self);
+    m_isSmall = m_assignment.allDispatchers().size() <= MostNearDispatchers + 1;
+    m_neighbours.clear();
+    m_close.clear();
+    m_nearDispatchers.clear();
+    for (const PeerHost &host : membership.hosts) {
+        if (host.name == m_self || !isNeighbour(host))
+            continue;
+        m_neighbours.push_back(host);
+        const bool isClose = m_isSmall || host.dataCentre == m_dataCentre;
+        if (!isClose)
+            continue;
+        m_close.push_back(host.name);
+        if (m_isDispatcher && needsRoom(host.name))
+            m_nearDispatchers.push_back(host.name);
+    }
+}
+
+// A leaving host may still have jobs and runs with any dispatcher.
+bool Neighbourhood::isNeighbour(const PeerHost &host) const
+{
+    const bool isLocal = host.dataCentre == m_dataCentre;
+    if (m_isDispatcher)
+        return isLocal || host.isLeaving || m_assignment.isDispatcher(host.name);
+    return isLocal && (host.isLeaving || m_assignment.isDispatcher(host.name));
+}
+
+bool Neighbourhood::needsRoom(const std::string &host) const
+{
+    const auto listed = std::find_if(m_membership.hosts.begin(), m_membership.hosts.end(),
+                                     [&](const PeerHost &each) { return each.name == host; });
+    return listed == m_membership.hosts.end() || listed->isLeaving
+           || m_assignment.isDispatcher(host);
+}
+
+} // namespace anvilmill
--- a/tests/process/lib/fleet.bash
+++ b/tests/process/lib/fleet.bash
@@ -9,7 +9,7 @@
 fleet_ip() { echo "127.0.7.$1"; }
 fleet_callers() { echo "$(fleet_ip "$1"):28161"; }
 
-# Starts host $1 in data centre dc$2.
+# Starts host $1 in data centre dc$2 with $3 of a core, which only says how strong it counts.
 start_fleet_host() {
     cat >"$folder/fleet$1.conf" <<CONF
 node=entry-$1
@@ -19,6 +19,8 @@
 listen.ready=$(fleet_ip "$1"):28167
 internal_ports=27720,27735
 limits.max_fds=4100
+limits.cpu_share=${3:-0.25}
+limits.cores=1
 platform.address=$store_address
 bounds.hold_max_ms=1000
 bounds.grace_s=6
--- /dev/null
+++ b/tests/system/batch/test_relayedjobs.cpp
@@ -0,0 +1,249 @@
+#include "batch/jobmessages.h"
+#include "batch/mesh.h"
+#include "batch/relayedjobs.h"
+#include "loop/timerqueue.h"
+
+#include "anvilmill/manualclock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace anvilmill;
+using namespace anvilmill::daemon;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wire::meshframe::MeshFrame;
+
+namespace {
+
+boost::asio::ip::tcp::endpoint loopback(std::uint16_t port)
+{
+    return {boost::asio::ip::make_address_v4("127.0.0.1"), port};
+}
+
+} // namespace
+
+/// What a dispatcher answers for jobs whose messages are lost or crossed; the frames that come in are
+/// made here, those that go out are read by a second mesh.
+class RelayedJobsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayedJobsTest);
+    CPPUNIT_TEST(jobRoundTripKeepsItsDemands);
+    CPPUNIT_TEST(lostAnswerIsSentAgain);
+    CPPUNIT_TEST(unknownJobIsBroken);
+    CPPUNIT_TEST(jobThatComesWithTheListIsTaken);
+    CPPUNIT_TEST(jobThatIsNotListedIsCancelled);
+    CPPUNIT_TEST(givenUpJobIsBrokenNotCancelled);
+    CPPUNIT_TEST(jobThatCannotBeReadIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<boost::asio::io_context>(1);
+        m_timers = std::make_unique<TimerQueue>(*m_loop, m_clock);
+        static std::uint16_t port = 42500;
+        const std::uint16_t portA = port++;
+        m_port = port++;
+        m_mesh = std::make_unique<Mesh>(*m_loop, *m_timers, "dispatcher", loopback(portA),
+                                        ignoringEvents());
+        m_peer = std::make_unique<Mesh>(*m_loop, *m_timers, "weak", loopback(m_port),
+                                        MeshEvents{[this](const MeshFrame &frame) { take(frame); },
+                                                   [](const std::string &) {}});
+        m_jobs = std::make_unique<RelayedJobs>(
+                *m_mesh, m_clock,
+                SchedulerCalls{
+                        [this](BatchJob job, std::function<void(const BatchResult &)> handler) {
+                            m_submitted.push_back(std::move(job));
+                            m_handlers[++m_lastJob] = std::move(handler);
+                            return std::make_optional(m_lastJob);
+                        },
+                        [this](JobNumber number) {
+                            m_cancelled.insert(number);
+                            m_handlers.at(number)(
+                                    {BatchEnd::Cancelled, "cancelled", {}, 0, {}, "", {}});
+                        }});
+        m_answers.clear();
+        m_submitted.clear();
+        m_handlers.clear();
+        m_cancelled.clear();
+        m_lastJob = 0;
+    }
+
+    void tearDown() override
+    {
+        m_jobs.reset();
+        m_mesh.reset();
+        m_peer.reset();
+        m_timers->clear();
+        m_timers.reset();
+        m_loop.reset();
+    }
+
+    void jobRoundTripKeepsItsDemands()
+    {
+        m_jobs->received(frameWithJob(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_submitted.size());
+        const BatchJob &job = m_submitted.front();
+        CPPUNIT_ASSERT_EQUAL(std::string("job7"), job.id);
+        CPPUNIT_ASSERT_EQUAL(std::string("spec"), *job.spec);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, job.tasks.size());
+        CPPUNIT_ASSERT(job.tasks[1].resources == (Resources{2000, 64, 0}));
+        CPPUNIT_ASSERT(job.tasks[2].resources == (Resources{4000, 64, 1}));
+        CPPUNIT_ASSERT(job.tasks[2].estimate == milliseconds(70));
+        CPPUNIT_ASSERT_EQUAL(3, job.route->maxAttempts);
+        CPPUNIT_ASSERT_EQUAL(std::string("desk"), job.route->service);
+    }
+
+    void lostAnswerIsSentAgain()
+    {
+        m_jobs->received(frameWithJob(7));
+        // Nothing is connected: the answer is lost.
+        m_handlers.at(1)({BatchEnd::Completed, "", {}, 3, {}, "e1", {}});
+        connect();
+        m_jobs->received(frameWithList({7}));
+        waitFor([this] { return m_answers.count(7) > 0; });
+        CPPUNIT_ASSERT(m_answers.at(7).end == BatchEnd::Completed);
+        CPPUNIT_ASSERT_EQUAL(3, m_answers.at(7).runs);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_submitted.size());
+    }
+
+    // An earlier process of the dispatcher may have run it: it is not called unrun.
+    void unknownJobIsBroken()
+    {
+        connect();
+        m_jobs->received(frameWithList({9}));
+        waitFor([this] { return m_answers.count(9) > 0; });
+        CPPUNIT_ASSERT(m_answers.at(9).end == BatchEnd::Broken);
+    }
+
+    void jobThatComesWithTheListIsTaken()
+    {
+        connect();
+        MeshFrame frame = frameWithJob(7);
+        frame.openJobs = {7, 8};
+        m_jobs->received(frame);
+        waitFor([this] { return m_answers.count(8) > 0; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_answers.count(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_submitted.size());
+    }
+
+    void jobThatIsNotListedIsCancelled()
+    {
+        m_jobs->received(frameWithJob(7));
+        m_jobs->received(frameWithJob(8));
+        m_jobs->received(frameWithList({8}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cancelled.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cancelled.count(1));
+    }
+
+    // The weak host was only silent, and its client still waits: "cancelled" would be untrue.
+    void givenUpJobIsBrokenNotCancelled()
+    {
+        connect();
+        m_jobs->received(frameWithJob(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_jobs->giveUp("weak"));
+        waitFor([this] { return m_answers.count(7) > 0; });
+        CPPUNIT_ASSERT(m_answers.at(7).end == BatchEnd::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cancelled.size());
+        CPPUNIT_ASSERT(m_jobs->hosts().empty());
+    }
+
+    void jobThatCannotBeReadIsRefused()
+    {
+        connect();
+        MeshFrame frame = frameWithJob(7);
+        frame.jobs->front().spec = 5;
+        m_jobs->received(frame);
+        frame = frameWithJob(8);
+        frame.jobs->front().tasks = {2000000000, 1, 1, 1, 1};
+        m_jobs->received(frame);
+        frame = frameWithJob(9);
+        frame.jobs->front().tasks = {-1, 1, 1, 1, 1};
+        m_jobs->received(frame);
+        waitFor([this] { return m_answers.size() == 3; });
+        for (const auto &[number, answer] : m_answers)
+            CPPUNIT_ASSERT(answer.end == BatchEnd::Refused);
+        CPPUNIT_ASSERT(m_submitted.empty());
+    }
+
+private:
+    static MeshEvents ignoringEvents()
+    {
+        return {[](const MeshFrame &) {}, [](const std::string &) {}};
+    }
+
+    void take(const MeshFrame &frame)
+    {
+        if (!frame.jobEnds)
+            return;
+        for (const auto &end : *frame.jobEnds) {
+            const auto number = static_cast<JobNumber>(end.number);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_answers.count(number));
+            m_answers[number] = mesh::resultOf(end);
+        }
+    }
+
+    MeshFrame frameWithJob(JobNumber number)
+    {
+        RoutePolicy policy;
+        policy.route = "quotes";
+        policy.service = "desk";
+        policy.maxAttempts = 3;
+        BatchJob job;
+        job.id = "job" + std::to_string(number);
+        job.route = std::make_shared<const RoutePolicy>(policy);
+        job.spec = std::make_shared<const std::string>("spec");
+        job.tasks = {{{2000, 64, 0}, milliseconds(50)},
+                     {{2000, 64, 0}, milliseconds(50)},
+                     {{4000, 64, 1}, milliseconds(70)}};
+        job.arrived = m_clock.now();
+        job.deadline = job.arrived + seconds(2);
+        MeshFrame frame;
+        frame.host = "weak";
+        mesh::addJob(frame, number, job, m_clock.now());
+        return frame;
+    }
+
+    static MeshFrame frameWithList(std::vector<std::int64_t> numbers)
+    {
+        MeshFrame frame;
+        frame.host = "weak";
+        frame.openJobs = std::move(numbers);
+        return frame;
+    }
+
+    void connect()
+    {
+        m_mesh->setHosts({{"weak", "dc", "127.0.0.1:" + std::to_string(m_port), false}});
+        waitFor([this] { return m_mesh->isConnected("weak"); });
+    }
+
+    template <typename Condition>
+    void waitFor(Condition isMet)
+    {
+        const MonotonicTime limit = m_clock.now() + seconds(10);
+        while (!isMet() && m_clock.now() < limit)
+            m_loop->run_for(milliseconds(5));
+        CPPUNIT_ASSERT(isMet());
+    }
+
+    SystemClock m_clock;
+    std::unique_ptr<boost::asio::io_context> m_loop;
+    std::unique_ptr<TimerQueue> m_timers;
+    std::unique_ptr<Mesh> m_mesh;
+    std::unique_ptr<Mesh> m_peer;
+    std::unique_ptr<RelayedJobs> m_jobs;
+    std::vector<BatchJob> m_submitted;
+    std::map<JobNumber, std::function<void(const BatchResult &)>> m_handlers;
+    std::map<JobNumber, BatchResult> m_answers;
+    std::set<JobNumber> m_cancelled;
+    JobNumber m_lastJob = 0;
+    std::uint16_t m_port = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayedJobsTest);
--- /dev/null
+++ b/tests/unit/executor/test_dispatchers.cpp
@@ -0,0 +1,168 @@
+#include "anvilmill/executor/holderassignment.h"
+#include "anvilmill/executor/neighbourhood.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace anvilmill;
+
+namespace {
+
+constexpr int DataCentres = 6;
+constexpr int Executors = 183;
+
+std::string nameOf(int dataCentre, const std::string &kind, int number)
+{
+    return "dc" + std::to_string(dataCentre) + "-" + kind + std::to_string(number);
+}
+
+/// The large site: 3 hosts of half a core, 6 of 0.3 and 15 of 0.09 in each of six data centres.
+HostMembership largeSite()
+{
+    HostMembership membership;
+    membership.revision = 1;
+    for (int dc = 0; dc < DataCentres; ++dc) {
+        const std::string dataCentre = "dc" + std::to_string(dc);
+        const auto add = [&](const std::string &kind, int count, std::int64_t milliCores) {
+            for (int i = 0; i < count; ++i)
+                membership.hosts.push_back(
+                        {nameOf(dc, kind, i), dataCentre, "", false, milliCores});
+        };
+        add("strong", 3, 500);
+        add("medium", 6, 300);
+        add("weak", 15, 90);
+    }
+    return membership;
+}
+
+std::map<std::string, int> heldBy(const HolderAssignment &assignment, const std::string &dataCentre)
+{
+    std::map<std::string, int> held;
+    for (int i = 0; i < Executors; ++i)
+        ++held[*assignment.holderOf("executor-" + std::to_string(i), dataCentre)];
+    return held;
+}
+
+} // namespace
+
+/// Who dispatches, holds and talks to whom at the size of the large site.
+class DispatchersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchersTest);
+    CPPUNIT_TEST(strongHostsDispatch);
+    CPPUNIT_TEST(executorsFollowStrength);
+    CPPUNIT_TEST(equalHostsAllDispatch);
+    CPPUNIT_TEST(weakHostsDispatchWhenTheStrongAreGone);
+    CPPUNIT_TEST(twoLostHostsLeaveADispatcher);
+    CPPUNIT_TEST(weakHostHasFewNeighbours);
+    CPPUNIT_TEST(neighboursAreMutual);
+    CPPUNIT_TEST(roomIsToldToHostsThatPlace);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void strongHostsDispatch()
+    {
+        const HolderAssignment assignment(largeSite());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, assignment.dispatchersOf("dc2").size());
+        CPPUNIT_ASSERT(assignment.isDispatcher(nameOf(2, "medium", 5)));
+        CPPUNIT_ASSERT(!assignment.isDispatcher(nameOf(2, "weak", 0)));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5 / (6 * 3.3), assignment.shareOf(nameOf(0, "strong", 0)),
+                                     1e-9);
+    }
+
+    // Held by count alone, a host of 0.09 of a core had as many as one of half a core.
+    void executorsFollowStrength()
+    {
+        const HolderAssignment assignment(largeSite());
+        int strong = 0;
+        int weak = 0;
+        for (const auto &[host, held] : heldBy(assignment, "dc0")) {
+            strong += host.find("strong") != std::string::npos ? held : 0;
+            weak += host.find("weak") != std::string::npos ? held : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, weak);
+        // 1.5 of 3.3 cores: 83 of 183 on average, with a deviation of 7.
+        CPPUNIT_ASSERT(strong > 62);
+        CPPUNIT_ASSERT(strong < 104);
+    }
+
+    void equalHostsAllDispatch()
+    {
+        HostMembership membership;
+        for (int i = 0; i < 5; ++i)
+            membership.hosts.push_back({nameOf(0, "weak", i), "dc0", "", false, 90});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, HolderAssignment(membership).allDispatchers().size());
+    }
+
+    void weakHostsDispatchWhenTheStrongAreGone()
+    {
+        HostMembership membership = largeSite();
+        for (PeerHost &host : membership.hosts)
+            host.isLeaving = host.milliCores > 90;
+        const HolderAssignment assignment(membership);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{15}, assignment.dispatchersOf("dc0").size());
+    }
+
+    void twoLostHostsLeaveADispatcher()
+    {
+        HostMembership membership;
+        membership.hosts = {{"a", "dc0", "", false, 4000},
+                            {"b", "dc0", "", false, 90},
+                            {"c", "dc0", "", false, 80},
+                            {"d", "dc0", "", false, 70}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, HolderAssignment(membership).allDispatchers().size());
+    }
+
+    // Connected to each other, each of 144 hosts had 143 neighbours.
+    void weakHostHasFewNeighbours()
+    {
+        Neighbourhood weak(nameOf(1, "weak", 3), "dc1");
+        weak.adopt(largeSite());
+        CPPUNIT_ASSERT(!weak.isDispatcher());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, weak.neighbours().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, weak.closeHosts().size());
+        CPPUNIT_ASSERT(weak.nearDispatchers().empty());
+        Neighbourhood strong(nameOf(1, "strong", 0), "dc1");
+        strong.adopt(largeSite());
+        // 23 in its data centre, 9 dispatchers in each of five others.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{23 + 45}, strong.neighbours().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, strong.nearDispatchers().size());
+    }
+
+    // Frames go out over an own connection: one that only one side wants carries no answers.
+    void neighboursAreMutual()
+    {
+        HostMembership membership = largeSite();
+        membership.hosts.front().isLeaving = true;
+        std::map<std::string, std::vector<PeerHost>> neighbours;
+        for (const PeerHost &host : membership.hosts) {
+            Neighbourhood neighbourhood(host.name, host.dataCentre);
+            neighbourhood.adopt(membership);
+            neighbours[host.name] = neighbourhood.neighbours();
+        }
+        for (const auto &[name, hosts] : neighbours) {
+            const bool isLeaving = name == membership.hosts.front().name;
+            for (const PeerHost &host : hosts) {
+                const std::vector<PeerHost> &others = neighbours.at(host.name);
+                const bool isMutual = std::any_of(
+                        others.begin(), others.end(),
+                        [&own = name](const PeerHost &other) { return other.name == own; });
+                CPPUNIT_ASSERT(isMutual || isLeaving || host.isLeaving);
+            }
+        }
+    }
+
+    void roomIsToldToHostsThatPlace()
+    {
+        Neighbourhood strong(nameOf(1, "strong", 0), "dc1");
+        strong.adopt(largeSite());
+        CPPUNIT_ASSERT(strong.needsRoom(nameOf(1, "medium", 0)));
+        CPPUNIT_ASSERT(!strong.needsRoom(nameOf(1, "weak", 0)));
+        // Cut off from the store, it may still think that it dispatches.
+        CPPUNIT_ASSERT(strong.needsRoom("unlisted"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchersTest);
--- a/tests/unit/executor/test_hosts.cpp
+++ b/tests/unit/executor/test_hosts.cpp
@@ -25,6 +25,12 @@
 const PeerHost A2{"a2", "a", "", false};
 const PeerHost B1{"b1", "b", "", false};
 
+std::optional<std::string> holderOf(const std::string &executor, const std::string &dataCentre,
+                                    const HostMembership &membership)
+{
+    return HolderAssignment(membership).holderOf(executor, dataCentre);
+}
+
 std::string executorNamed(int number)
 {
     return "executor-" + std::to_string(number);
--- a/tests/unit/fleet/test_documents.cpp
+++ b/tests/unit/fleet/test_documents.cpp
@@ -70,6 +70,8 @@
         CPPUNIT_ASSERT(withoutHeartbeat(next) != withoutHeartbeat(draining));
         CPPUNIT_ASSERT_EQUAL(withoutHeartbeat(R"({"a":1,"seq":2})"),
                              withoutHeartbeat(R"({"a":1,"seq":3})"));
+        CPPUNIT_ASSERT_EQUAL(withoutHeartbeat(R"({"a":1,"clock_ms":482113,"seq":2})"),
+                             withoutHeartbeat(R"({"a":1,"clock_ms":483614,"seq":3})"));
         // Bytes of other writers are compared as they are.
         CPPUNIT_ASSERT_EQUAL(std::string(R"("seq)"), withoutHeartbeat(R"("seq)"));
     }
@@ -125,12 +127,14 @@
                 "node=front-1\nzone=z\nip=10.0.0.1\nlisten.front=10.0.0.1:80\n"
                 "listen.ready=10.0.0.1:81\ninternal_ports=7000,7010\n"
                 "platform.address=10.0.0.9:90\nbounds.hold_max_ms=1000\nbounds.grace_s=6\n"
-                "bounds.status_s=120\nbounds.drain_ms=2000\nlimits.max_fds=4100\nnew.field=x\n";
+                "bounds.status_s=120\nbounds.drain_ms=2000\nlimits.max_fds=4100\n"
+                "limits.cpu_share=0.3\nlimits.cores=1\nnew.field=x\n";
         const tests::TemporaryFile file("good.conf", good);
         const MachineSettingsReport report = readMachineSettings(file.path());
         CPPUNIT_ASSERT(report.settings.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7000"), report.settings->meshAddress);
         CPPUNIT_ASSERT(report.settings->longestLease == std::chrono::seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{300}, report.settings->milliCores);
 
         const tests::TemporaryFile bad("bad.conf", "node=front-1\nbounds.grace_s=soon\n");
         const MachineSettingsReport errors = readMachineSettings(bad.path());
--- /dev/null
+++ b/tests/unit/scheduling/test_dispatcherchoice.cpp
@@ -0,0 +1,89 @@
+#include "anvilmill/clock.h"
+#include "anvilmill/randomsource.h"
+#include "anvilmill/scheduling/dispatcherchoice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace anvilmill;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Three of half a core and six of 0.3, as in a data centre of the large site.
+std::vector<DispatcherCandidate> dispatchers()
+{
+    std::vector<DispatcherCandidate> all;
+    for (int i = 0; i < 3; ++i)
+        all.push_back({"strong" + std::to_string(i), 0.5, 0});
+    for (int i = 0; i < 6; ++i)
+        all.push_back({"medium" + std::to_string(i), 0.3, 0});
+    return all;
+}
+
+/// Plays jobs of one host, one each 20 ms: three times its share of the crest. Answered after \p answer
+/// by all dispatchers but the first, which takes \p slowAnswer. Returns how many each one got.
+std::vector<std::size_t> play(Duration answer, Duration slowAnswer, std::size_t jobs)
+{
+    constexpr Duration Interval = milliseconds(20);
+    SeededRandom random(11);
+    std::vector<DispatcherCandidate> all = dispatchers();
+    std::vector<std::size_t> taken(all.size(), 0);
+    std::multimap<Duration, std::size_t> ends;
+    Duration now{};
+    for (std::size_t i = 0; i < jobs; ++i, now += Interval) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            --all[ends.begin()->second].openJobs;
+            ends.erase(ends.begin());
+        }
+        const std::size_t chosen = *chooseDispatcher(all, random);
+        ++all[chosen].openJobs;
+        ++taken[chosen];
+        ends.emplace(now + (chosen == 0 ? slowAnswer : answer), chosen);
+    }
+    return taken;
+}
+
+} // namespace
+
+/// Replays the load of hosts that hand their jobs to dispatchers of unlike strength.
+class DispatcherChoiceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatcherChoiceTest);
+    CPPUNIT_TEST(jobsFollowStrength);
+    CPPUNIT_TEST(slowDispatcherGetsFewJobs);
+    CPPUNIT_TEST(nobodyToChoose);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void jobsFollowStrength()
+    {
+        constexpr std::size_t Jobs = 9000;
+        const auto taken = play(milliseconds(300), milliseconds(300), Jobs);
+        const std::size_t strong = taken[0] + taken[1] + taken[2];
+        // They have 1.5 of 3.3 cores; by count alone they would get a third.
+        CPPUNIT_ASSERT(strong > Jobs * 42 / 100);
+        CPPUNIT_ASSERT(strong < Jobs * 50 / 100);
+        for (std::size_t i = 3; i < taken.size(); ++i)
+            CPPUNIT_ASSERT(taken[i] > 0);
+    }
+
+    // A host that is five times slower answers late while it is still heard.
+    void slowDispatcherGetsFewJobs()
+    {
+        constexpr std::size_t Jobs = 9000;
+        const auto taken = play(milliseconds(300), milliseconds(1500), Jobs);
+        const std::size_t others = std::min(taken[1], taken[2]);
+        CPPUNIT_ASSERT(taken[0] < others / 2);
+    }
+
+    void nobodyToChoose()
+    {
+        SeededRandom random(1);
+        CPPUNIT_ASSERT(!chooseDispatcher({}, random));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherChoiceTest);
--- a/tests/unit/scheduling/test_sharedroom.cpp
+++ b/tests/unit/scheduling/test_sharedroom.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST_SUITE(SharedRoomTest);
     CPPUNIT_TEST(hostsAtHalfLoadRarelyMeetTakenRoom);
     CPPUNIT_TEST(mostStartsAtHalfLoadStayWithTheirHost);
+    CPPUNIT_TEST(dispatchersOfALargeDataCentreKeepTheirStarts);
     CPPUNIT_TEST(allRoomIsUsedUnderOverload);
     CPPUNIT_TEST(hostsUnderOverloadRarelyMeetTakenRoom);
     CPPUNIT_TEST(roomIsOfferedToOneWaitingHostInTurn);
@@ -46,6 +47,23 @@
         CPPUNIT_ASSERT(fleet.remoteStarts() < fleet.starts() / 4);
     }
 
+    // The crest of the large site in one of its data centres: 24 hosts, of which nine dispatch. With a
+    // share of the executors each, wide jobs of all 24 spill over to the others.
+    void dispatchersOfALargeDataCentreKeepTheirStarts()
+    {
+        constexpr double Crest = 0.45;
+        constexpr std::size_t Executors = 183;
+        SharedRoom all(24, Executors);
+        SharedRoom dispatchers(9, Executors);
+        all.run(Crest, seconds(5));
+        dispatchers.run(Crest, seconds(5));
+        CPPUNIT_ASSERT(dispatchers.starts() > 1000);
+        CPPUNIT_ASSERT(dispatchers.remoteStarts() < dispatchers.starts() / 10);
+        CPPUNIT_ASSERT(dispatchers.remoteStarts() * 2 < all.remoteStarts());
+        const double refused = static_cast<double>(dispatchers.refusals());
+        CPPUNIT_ASSERT(refused < MostWaste * static_cast<double>(dispatchers.starts()));
+    }
+
     void allRoomIsUsedUnderOverload()
     {
         constexpr double Overload = 1.5;
