Executors: starts without an answer are settled after 50 ms; holds in pairs while orders are lost

A start was given up after 250 ms, and then waited for the hold that waits up to 400 ms for an end; a lost hold told of ends 750 ms late. Change: a start that is not answered within 50 ms is settled by a second hold under a raised fence, at once. OrderLosses: while orders to several executors are lost, holds wait 100 ms in place of 400, are given up 100 ms after that, and go out in pairs. Answers that overtake each other are told apart by the executor's clock and incarnation, so that a run that has ended doesn't come back as somebody else's. Tests: BatchHostsTest::startsWithoutAnswerAreMadeElsewhere, OrderLossesTest, three in HeldExecutorTest. A false doubt (our loop behind) costs one call.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -4,6 +4,7 @@
 #include "anvilmill/executor/executorregistration.h"
 #include "anvilmill/executor/executortrust.h"
 #include "anvilmill/executor/fence.h"
+#include "anvilmill/executor/orderlosses.h"
 #include "anvilmill/executor/run.h"
 
 #include <map>
@@ -21,9 +22,11 @@
 {
     /// Longest lease that an executor grants; from the machine's settings.
     Duration longestLease = std::chrono::seconds(1);
-    /// How long a hold waits for an end. Well under the lease, so that one lost hold lets
-    /// nothing lapse.
-    Duration holdWait = std::chrono::milliseconds(400);
+    /// How holds are paced while orders are answered. Wait and patience together are well under the
+    /// lease, so that one lost hold lets nothing lapse; an answer takes a round trip of 3 ms, and a
+    /// cut link shows as no answer.
+    HoldPace pace{std::chrono::milliseconds(400), std::chrono::milliseconds(250),
+                  std::chrono::milliseconds(100)};
     /// How long an order may be under way on a connection that is then given up.
     Duration longestTransit = std::chrono::milliseconds(300);
     /// By how much an executor's clock may be slow.
@@ -56,6 +59,8 @@
     std::uint64_t acknowledgedThrough = 0;
     std::optional<ExecutorTime> leaseUntil;
     Duration wait{};
+    /// How long the answer may take beyond the wait.
+    Duration patience{};
     MonotonicTime sent;
 };
 
@@ -130,7 +135,13 @@
     [[nodiscard]] std::optional<RunEnd> startAnswered(const StartOrder &order, StartAnswer answer);
 
     /// \brief The start may or may not take effect; raises the fence to settle it.
-    void startUnanswered(const StartOrder &order);
+    ///
+    /// The next hold settles it; several may be under way. Returns false if the start was answered or
+    /// given up before.
+    bool startUnanswered(const StartOrder &order);
+
+    /// \brief True if the next hold has to settle starts that were not answered.
+    [[nodiscard]] bool isUnsettled() const noexcept;
 
     /// \brief Answers for a run that an earlier holder was asked to start.
     ///
@@ -140,10 +151,13 @@
     /// \brief The order to stop \p run; nothing if it isn't here.
     [[nodiscard]] std::optional<StopOrder> stop(const RunId &run);
 
-    /// \brief The next hold, to be sent now.
-    [[nodiscard]] HoldOrder nextHold();
+    /// \brief The next hold, to be sent now. It doesn't wait while there is something to settle.
+    [[nodiscard]] HoldOrder nextHold(const HoldPace &pace);
 
     /// \brief Takes the answer to a hold; returns the runs that ended.
+    ///
+    /// Answers to holds that were under way together may come in any order: of one that the executor
+    /// wrote before another that is known, only the ends count.
     [[nodiscard]] std::vector<RunEnd> holdAnswered(const HoldOrder &order,
                                                    const HoldReport &report);
 
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Pause after a hold that was not answered; short of the lease, so that a lost call costs nothing.
-constexpr Duration HoldRetryPause = std::chrono::milliseconds(100);
+/// A start is answered within a round trip of 3 ms, and the turns of two busy loops. One that is not
+/// is settled by a hold, which costs a call if the answer was only late.
+constexpr Duration StartDoubtedAfter = std::chrono::milliseconds(50);
 /// A stop takes at most 50 ms; one whose end is not listed by then was lost.
 constexpr Duration StopRetryPause = std::chrono::milliseconds(200);
 /// By then the lease has lapsed.
@@ -31,6 +32,8 @@
     std::set<RunId> stopping;
     std::optional<MonotonicTime> awaitedProbe;
     bool isHolding = false;
+    /// A second hold is under way, to settle starts while the first one waits for ends.
+    bool isSettling = false;
     bool isGone = false;
     bool isSilent = false;
 };
@@ -42,6 +45,7 @@
     , m_calls(calls)
     , m_metrics(metrics)
     , m_settings(settings)
+    , m_losses(clock, settings.pace)
     , m_events(std::move(events))
     , m_timers(timers)
 {
@@ -108,7 +112,7 @@
     if (entry->isHolding || entry->isGone || !entry->executor.isHeld())
         return;
     entry->isHolding = true;
-    const HoldOrder order = entry->executor.nextHold();
+    const HoldOrder order = entry->executor.nextHold(m_losses.pace());
     m_calls.hold(entry->executor.registration(), order,
                  m_timers.guard([this, entry, order](const HoldReply &reply) {
                      entry->isHolding = false;
@@ -126,9 +130,7 @@
         if (entry->isSilent)
             LogEvent("executor.regained").with("executor", executor.registration().id);
         entry->isSilent = false;
-        emit(executor.registration().id, executor.holdAnswered(order, reply.report));
-        awaitProbe(entry);
-        stopOrphans(entry);
+        takeReport(entry, order, reply.report);
         holdAgain(entry, {});
         break;
     case HoldReply::Kind::Fenced:
@@ -139,7 +141,7 @@
                     .with("fence", order.fence)
                     .with("membership", m_assignment.revision());
         }
-        holdAgain(entry, HoldRetryPause);
+        holdAgain(entry, m_settings.pace.retryPause);
         break;
     case HoldReply::Kind::Unanswered:
         if (!entry->isSilent) {
@@ -150,13 +152,46 @@
                     .with("runs", executor.runs());
         }
         entry->isSilent = true;
+        m_losses.lost(executor.registration().id);
         emit(executor.registration().id, executor.holdUnanswered());
-        holdAgain(entry, HoldRetryPause);
+        holdAgain(entry, m_losses.pace().retryPause);
         break;
     }
     noteRoom(*entry);
 }
 
+void HolderService::takeReport(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
+                               const HoldReport &report)
+{
+    emit(entry->executor.registration().id, entry->executor.holdAnswered(order, report));
+    awaitProbe(entry);
+    stopOrphans(entry);
+}
+
+/// Sends a second hold beside the one that waits for ends: to ask at once what became of starts that
+/// were not answered, and to hear of ends while orders are being lost.
+void HolderService::settle(const std::shared_ptr<Entry> &entry)
+{
+    const HeldExecutor &executor = entry->executor;
+    const bool isWanted =
+            executor.isUnsettled() || (m_losses.pace().isDoubled && executor.runs() > 0);
+    if (entry->isSettling || entry->isGone || !executor.isHeld() || !isWanted)
+        return;
+    entry->isSettling = true;
+    const HoldOrder order = entry->executor.nextHold(m_losses.pace());
+    m_calls.hold(entry->executor.registration(), order,
+                 m_timers.guard([this, entry, order](const HoldReply &reply) {
+                     entry->isSettling = false;
+                     if (entry->isGone)
+                         return;
+                     if (reply.kind == HoldReply::Kind::Answered) {
+                         takeReport(entry, order, reply.report);
+                         noteRoom(*entry);
+                     }
+                     m_timers.after(m_losses.pace().retryPause, [this, entry] { settle(entry); });
+                 }));
+}
+
 /// Room comes back with time alone when an executor is due to be tried again.
 void HolderService::awaitProbe(const std::shared_ptr<Entry> &entry)
 {
@@ -200,20 +235,40 @@
                       if (!entry->isGone)
                           startAnswered(entry, order, reply);
                   }));
+    m_timers.after(StartDoubtedAfter, [this, entry, order = *order] { doubtStart(entry, order); });
+    settle(entry);
     return true;
 }
 
+// After a turn in which the loop was behind, the answer may be there and not read yet.
+void HolderService::doubtStart(const std::shared_ptr<Entry> &entry, const StartOrder &order)
+{
+    m_timers.after(Duration{}, [this, entry, order] {
+        if (!entry->isGone)
+            startLost(entry, order);
+    });
+}
+
+void HolderService::startLost(const std::shared_ptr<Entry> &entry, const StartOrder &order)
+{
+    HeldExecutor &executor = entry->executor;
+    if (!executor.startUnanswered(order))
+        return;
+    m_losses.lost(executor.registration().id);
+    LogEvent("run.startUnanswered", LogEvent::Level::Warning)
+            .with("task", order.run.task)
+            .with("run", order.run.number)
+            .with("executor", executor.registration().id)
+            .with("fence", executor.fence());
+    settle(entry);
+}
+
 void HolderService::startAnswered(const std::shared_ptr<Entry> &entry, const StartOrder &order,
                                   const StartReply &reply)
 {
     HeldExecutor &executor = entry->executor;
     if (!reply) {
-        executor.startUnanswered(order);
-        LogEvent("run.startUnanswered", LogEvent::Level::Warning)
-                .with("task", order.run.task)
-                .with("run", order.run.number)
-                .with("executor", executor.registration().id)
-                .with("fence", executor.fence());
+        startLost(entry, order);
         return;
     }
     const auto end = executor.startAnswered(order, *reply);
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -81,6 +81,11 @@
                       const HoldReply &reply);
     void awaitProbe(const std::shared_ptr<Entry> &entry);
     void holdAgain(const std::shared_ptr<Entry> &entry, Duration delay);
+    void doubtStart(const std::shared_ptr<Entry> &entry, const StartOrder &order);
+    void startLost(const std::shared_ptr<Entry> &entry, const StartOrder &order);
+    void settle(const std::shared_ptr<Entry> &entry);
+    void takeReport(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
+                    const HoldReport &report);
     void startAnswered(const std::shared_ptr<Entry> &entry, const StartOrder &order,
                        const StartReply &reply);
     void sendStop(const std::shared_ptr<Entry> &entry, const RunId &run, int attempt);
@@ -92,6 +97,7 @@
     ExecutorCalls &m_calls;
     BatchMetrics &m_metrics;
     HoldSettings m_settings;
+    OrderLosses m_losses;
     HolderEvents m_events;
     std::map<std::string, std::shared_ptr<Entry>> m_entries;
     HolderAssignment m_assignment;
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -100,14 +100,21 @@
     return std::nullopt;
 }
 
-void HeldExecutor::startUnanswered(const StartOrder &order)
+bool HeldExecutor::startUnanswered(const StartOrder &order)
 {
     const auto found = m_runs.find(order.run);
     if (found == m_runs.end() || found->second.state != RunState::Starting)
-        return;
+        return false;
     found->second.state = RunState::Uncertain;
     if (order.fence == m_fences.current())
         m_fences.raise();
+    return true;
+}
+
+bool HeldExecutor::isUnsettled() const noexcept
+{
+    return std::any_of(m_runs.begin(), m_runs.end(),
+                       [](const auto &entry) { return entry.second.state == RunState::Uncertain; });
 }
 
 void HeldExecutor::adopt(const RunId &run, const Resources &demand)
@@ -132,7 +139,7 @@
     return StopOrder{run, m_fences.current()};
 }
 
-HoldOrder HeldExecutor::nextHold()
+HoldOrder HeldExecutor::nextHold(const HoldPace &pace)
 {
     HoldOrder order;
     order.fence = m_fences.current();
@@ -140,11 +147,8 @@
     // An executor that doesn't answer gets no further lease, so that its runs lapse in a known time.
     if (m_isVerified)
         order.leaseUntil = leaseUntil();
-    const bool isUnsettled =
-            !m_isVerified || std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
-                return entry.second.state == RunState::Uncertain;
-            });
-    order.wait = isUnsettled ? Duration{} : m_settings.holdWait;
+    order.wait = !m_isVerified || isUnsettled() ? Duration{} : pace.wait;
+    order.patience = pace.patience;
     order.sent = m_clock.now();
     if (order.leaseUntil)
         m_leaseAsked = order.sent;
@@ -165,10 +169,16 @@
     if (!m_isHeld)
         return ended;
     m_isFenceInPlace = true;
-    m_executorClock = report.clock;
-    m_clockRead = m_clock.now();
+    if (report.incarnation < m_incarnation)
+        return ended;
+    const bool isOvertaken = report.incarnation == m_incarnation && m_executorClock
+                             && report.clock < *m_executorClock;
     noteIncarnation(report);
     takeEnds(report, ended);
+    if (isOvertaken)
+        return ended;
+    m_executorClock = report.clock;
+    m_clockRead = m_clock.now();
     takeActive(report);
     takeMissing(order, report, ended);
     m_isVerified = m_isVerified || (order.fence == m_fences.current() && order.sent >= m_doubted);
--- a/tests/fakes/loopexecutors.h
+++ b/tests/fakes/loopexecutors.h
@@ -31,11 +31,21 @@
 
     void setRunTime(Duration runTime) { m_runTime = runTime; }
 
+    /// The next starts take no effect and get no answer.
+    void dropStarts(int count) { m_dropped = count; }
+
+    /// How long a hold waits at most, whatever it asks for.
+    void setLongestHold(Duration longest) { m_longestHold = longest; }
+
     [[nodiscard]] int starts() const { return m_starts; }
 
     void start(const ExecutorRegistration &registration, const StartOrder &order,
                const std::string &, std::function<void(StartReply)> handler) override
     {
+        if (m_dropped > 0) {
+            --m_dropped;
+            return;
+        }
         FakeExecutor &fake = executor(registration.id);
         const StartAnswer answer = fake.start(order, {1, 1, 0});
         if (answer == StartAnswer::Started) {
@@ -59,7 +69,7 @@
               std::function<void(const HoldReply &)> handler) override
     {
         // Ends are looked for at short intervals instead of being waited for.
-        const Duration pause = std::min<Duration>(order.wait, std::chrono::milliseconds(10));
+        const Duration pause = std::min<Duration>(order.wait, m_longestHold);
         FakeExecutor &fake = executor(registration.id);
         m_timers.after(pause, [&fake, order, handler = std::move(handler)] {
             const auto report = fake.hold(order);
@@ -77,6 +87,8 @@
     daemon::TimerQueue &m_timers;
     std::map<std::string, std::unique_ptr<FakeExecutor>> m_executors;
     Duration m_runTime = std::chrono::milliseconds(50);
+    Duration m_longestHold = std::chrono::milliseconds(10);
+    int m_dropped = 0;
     int m_starts = 0;
 };
 
--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(attemptsOnTwoHostsKeepTheirEndsApart);
     CPPUNIT_TEST(claimIsNotAnsweredWithTheEndOfAnEarlierAttempt);
     CPPUNIT_TEST(hostThatIsNoLongerListedIsServed);
+    CPPUNIT_TEST(startsWithoutAnswerAreMadeElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,16 @@
         CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
     }
 
+    // The executors carry the orders out seconds later, if at all; the caller waits less.
+    void startsWithoutAnswerAreMadeElsewhere()
+    {
+        m_executors->dropStarts(5);
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return m_results.count("job") > 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Completed);
+        CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
+    }
+
 private:
     [[nodiscard]] std::unique_ptr<BatchHost> makeHost(const std::string &name, std::uint16_t port)
     {
--- a/tests/system/fleet/test_executoranswers.cpp
+++ b/tests/system/fleet/test_executoranswers.cpp
@@ -97,8 +97,9 @@
         m_status = 200;
         m_body = body;
         std::optional<HoldReply> reply;
-        m_executors->hold(m_registration, HoldOrder{},
-                          [&](const HoldReply &answer) { reply = answer; });
+        HoldOrder order;
+        order.patience = seconds(2);
+        m_executors->hold(m_registration, order, [&](const HoldReply &answer) { reply = answer; });
         waitFor([&] { return reply.has_value(); });
         return reply->kind;
     }
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -15,6 +15,7 @@
 
 const Resources Capacity{32000, 65536, 0};
 const Resources Task{14000, 64, 0};
+const HoldPace Pace = HoldSettings().pace;
 
 RunId runOf(const std::string &task, std::uint64_t number = 1)
 {
@@ -44,6 +45,9 @@
     CPPUNIT_TEST(holderThatNeverReachedTheExecutorLetsNothingLapse);
     CPPUNIT_TEST(afterASuspensionOnlyALaterHoldCounts);
     CPPUNIT_TEST(oldNumberIsSuperseded);
+    CPPUNIT_TEST(answerThatWasOvertakenBringsNoRunBack);
+    CPPUNIT_TEST(answerOfAnEarlierProcessIsIgnored);
+    CPPUNIT_TEST(startIsSettledWhileAHoldWaits);
     CPPUNIT_TEST(executorThatFailsEverythingGetsFewProbes);
     CPPUNIT_TEST(executorThatRecoversIsUsedWithinItsLongestPause);
     CPPUNIT_TEST(jobThatFailsEverywhereDistrustsNobody);
@@ -98,7 +102,7 @@
     void startWithoutAnswerKeepsItsRoomUntilTheFenceIsRaised()
     {
         const auto order = m_held->start(runOf("a"), Task);
-        const HoldOrder under = m_held->nextHold();
+        const HoldOrder under = m_held->nextHold(Pace);
         m_held->startUnanswered(*order);
         CPPUNIT_ASSERT(m_held->holdAnswered(under, *m_executor->hold(under)).empty());
         CPPUNIT_ASSERT_EQUAL(std::int64_t{18000}, m_held->room().milliCores);
@@ -145,7 +149,7 @@
         const auto other = makeHeld();
         other->takeOver(6);
         hold(*other);
-        const HoldOrder order = m_held->nextHold();
+        const HoldOrder order = m_held->nextHold(Pace);
         CPPUNIT_ASSERT(!m_executor->hold(order));
         CPPUNIT_ASSERT(m_held->holdFenced(order));
         CPPUNIT_ASSERT(!m_held->isHeld());
@@ -204,7 +208,7 @@
 
     void answerOlderThanAStartSaysNothingOfIt()
     {
-        const HoldOrder early = m_held->nextHold();
+        const HoldOrder early = m_held->nextHold(Pace);
         const auto report = m_executor->hold(early);
         m_clock->advance(milliseconds(1));
         start("a");
@@ -230,7 +234,7 @@
     {
         start("a");
         CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
-        CPPUNIT_ASSERT(!m_held->nextHold().leaseUntil);
+        CPPUNIT_ASSERT(!m_held->nextHold(Pace).leaseUntil);
         CPPUNIT_ASSERT(!m_held->start(runOf("b"), Task));
         m_clock->advance(milliseconds(1000));
         CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
@@ -259,7 +263,7 @@
 
     void afterASuspensionOnlyALaterHoldCounts()
     {
-        const HoldOrder before = m_held->nextHold();
+        const HoldOrder before = m_held->nextHold(Pace);
         const auto report = m_executor->hold(before);
         m_clock->advance(milliseconds(1));
         m_held->doubt();
@@ -269,6 +273,53 @@
         CPPUNIT_ASSERT(m_held->start(runOf("a"), Task));
     }
 
+    // Two holds under way together: the one that the executor answered first arrives last.
+    void answerThatWasOvertakenBringsNoRunBack()
+    {
+        start("a");
+        m_clock->advance(milliseconds(10));
+        const HoldOrder first = m_held->nextHold(Pace);
+        const auto early = m_executor->hold(first);
+        m_clock->advance(milliseconds(10));
+        m_executor->end(runOf("a"), RunOutcome::Done);
+        const HoldOrder second = m_held->nextHold(Pace);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             m_held->holdAnswered(second, *m_executor->hold(second)).size());
+        CPPUNIT_ASSERT(m_held->holdAnswered(first, *early).empty());
+        CPPUNIT_ASSERT(m_held->room() == Capacity);
+        CPPUNIT_ASSERT(m_held->mayStart());
+    }
+
+    void answerOfAnEarlierProcessIsIgnored()
+    {
+        start("a");
+        m_clock->advance(milliseconds(10));
+        const HoldOrder first = m_held->nextHold(Pace);
+        const auto early = m_executor->hold(first);
+        m_clock->advance(milliseconds(10));
+        m_executor->restart();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold(*m_held).size());
+        CPPUNIT_ASSERT(m_held->holdAnswered(first, *early).empty());
+        CPPUNIT_ASSERT(m_held->mayStart());
+    }
+
+    void startIsSettledWhileAHoldWaits()
+    {
+        const HoldOrder waiting = m_held->nextHold(Pace);
+        CPPUNIT_ASSERT(waiting.wait > Duration{});
+        const auto order = m_held->start(runOf("a"), Task);
+        CPPUNIT_ASSERT(m_held->startUnanswered(*order));
+        CPPUNIT_ASSERT(!m_held->startUnanswered(*order));
+        CPPUNIT_ASSERT(m_held->isUnsettled());
+        const HoldOrder settling = m_held->nextHold(Pace);
+        CPPUNIT_ASSERT(settling.wait == Duration{});
+        const auto ends = m_held->holdAnswered(settling, *m_executor->hold(settling));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::NotStarted);
+        CPPUNIT_ASSERT(!m_held->isUnsettled());
+        CPPUNIT_ASSERT(m_executor->start(*order, Task) == StartAnswer::Fenced);
+    }
+
     void oldNumberIsSuperseded()
     {
         start("a");
@@ -349,7 +400,7 @@
 
     std::vector<RunEnd> hold(HeldExecutor &held)
     {
-        const HoldOrder order = held.nextHold();
+        const HoldOrder order = held.nextHold(Pace);
         const auto report = m_executor->hold(order);
         CPPUNIT_ASSERT(report.has_value());
         return held.holdAnswered(order, *report);
