--- a/src/lib/executor/holderassignment.cpp
+++ b/src/lib/executor/holderassignment.cpp
@@ -92,9 +92,9 @@
 
 const std::vector<PeerHost> &HolderAssignment::dispatchersOf(const std::string &dataCentre) const
 {
-    static const std::vector<PeerHost> None;
+    static const std::vector<PeerHost> none;
     const auto found = m_byDataCentre.find(dataCentre);
-    return found == m_byDataCentre.end() ? None : found->second;
+    return found == m_byDataCentre.end() ? none : found->second;
 }
 
 bool HolderAssignment::isDispatcher(const std::string &host) const
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -21,7 +21,9 @@
 import sys
 import tempfile
 
+# With more than three in a data centre the others are weak, and hand their jobs to the three.
 HOSTS = 4
+STRONG_HOSTS = 3
 DATA_CENTRES = 2
 EXECUTORS = 32
 CALLER_PORT = 28261
@@ -99,11 +101,15 @@
         self.process = None
         self.exits = []
 
+    def share(self):
+        return 0.5 if self.index // DATA_CENTRES < STRONG_HOSTS else 0.09
+
     def write_settings(self):
         self.path.write_text("\n".join([
             f"node=entry-{self.index}", f"zone=dc{self.index % DATA_CENTRES}", f"ip={self.ip}",
             f"listen.front={self.ip}:{CALLER_PORT}", f"listen.ready={self.ip}:{READY_PORT}",
             "internal_ports=28220,28235", "limits.max_fds=4100",
+            f"limits.cpu_share={self.share()}", "limits.cores=1",
             f"platform.address=127.0.0.1:{self.soak.addresses.relay + self.index}", "bounds.hold_max_ms=1000",
             f"bounds.grace_s={STOP_GRACE}", "bounds.status_s=120", "bounds.drain_ms=2000"]) + "\n")
 
@@ -136,8 +142,8 @@
         self.failures = []
         self.schedule = []
         self.addresses = Addresses(options.lane)
-        self.relays = [Relay(self.addresses, i) for i in range(HOSTS)]
-        self.hosts = [Host(self, i) for i in range(HOSTS)]
+        self.relays = [Relay(self.addresses, i) for i in range(options.hosts)]
+        self.hosts = [Host(self, i) for i in range(options.hosts)]
 
     def note(self, fault, host, length):
         self.schedule.append(f"{fault} host {host.index} {length:.2f} s")
@@ -268,6 +274,7 @@
     parser.add_argument("--faults", type=float, default=8.0, help="seconds of faults")
     parser.add_argument("--lane", type=int, default=0, help="of soaks side by side")
     parser.add_argument("--scale", type=float, default=0.08)
+    parser.add_argument("--hosts", type=int, default=HOSTS, choices=range(2, PORTS_PER_LANE - 1))
     options = parser.parse_args()
     options.anvilmill = os.path.abspath(options.anvilmill)
     options.standin = os.path.abspath(options.standin)
--- a/tests/system/batch/test_entryfeed.cpp
+++ b/tests/system/batch/test_entryfeed.cpp
@@ -213,6 +213,7 @@
     void setReaders(const std::vector<std::string> &names)
     {
         std::vector<PeerHost> hosts;
+        hosts.reserve(names.size());
         for (const std::string &name : names)
             hosts.push_back({name, "dc", "", false});
         for (const auto &[name, host] : m_hosts) {
--- a/tests/unit/scheduling/test_dispatcherchoice.cpp
+++ b/tests/unit/scheduling/test_dispatcherchoice.cpp
@@ -16,6 +16,7 @@
 std::vector<DispatcherCandidate> dispatchers()
 {
     std::vector<DispatcherCandidate> all;
+    all.reserve(9);
     for (int i = 0; i < 3; ++i)
         all.push_back({"strong" + std::to_string(i), 0.5, 0});
     for (int i = 0; i < 6; ++i)
