After a pause nothing is started until what came meanwhile has been read

A host that was frozen for 3.5 s read, as it woke, a job whose client had sent it to another host since, and started it; the client's close lay behind the request in the same socket and was read milliseconds later, so that the runs were stopped, too late. The log of the first host shows the job running there. The same holds for starts in the frames of other hosts, which give a silent holder up after 2.3 s. Ruled out: fences (another executor), the relay (all hosts of this site dispatch), late orders. Change: PauseWatch sees turns of the loop that are 400 ms apart, by the clock that counts suspensions too. For 50 ms after one, jobs are taken but not placed, and starts of other hosts are refused, which is true: they have not run. Tests: BatchHostsTest::nothingIsStartedRightAfterAPause (starts at once without the check in place()), HostsTest::pauseIsFollowedByQuiet.

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -42,6 +42,13 @@
 /// Reading two clocks one after the other takes far less.
 constexpr Duration SuspensionTolerance = std::chrono::milliseconds(100);
 
+/// The loop's own timer; a turn takes a few milliseconds, tens on a busy weak host.
+constexpr Duration PauseCheckInterval = std::chrono::milliseconds(100);
+/// Callers don't give a host up sooner, and a busy host is rarely as late.
+constexpr Duration LongestTurn = std::chrono::milliseconds(400);
+/// What lies in the sockets is read within a few turns.
+constexpr Duration QuietAfterPause = std::chrono::milliseconds(50);
+
 Duration sinceBoot()
 {
     timespec time{};
@@ -76,10 +83,12 @@
     , m_runs(clock)
     , m_earlyClaims(clock)
     , m_suspension(SuspensionTolerance)
+    , m_pause(LongestTurn, QuietAfterPause)
     , m_neighbourhood(settings.name, settings.dataCentre)
     , m_lastJob(settings.firstJob)
     , m_timers(timers)
 {
+    watchPauses();
     sendAllRoom();
 }
 
@@ -434,7 +443,7 @@
         const auto index = static_cast<std::size_t>(start.spec);
         const bool hasSpec = frame.specs && index < frame.specs->size();
         const bool isAccepted =
-                hasSpec
+                hasSpec && !isQuiet()
                 && m_holder.start(start.executor, run, resourcesOf(start), (*frame.specs)[index]);
         if (isAccepted)
             m_runs.setOwner(run, frame.host, start.executor);
@@ -601,7 +610,15 @@
 void BatchHost::place()
 {
     m_scheduler.expire();
-    m_scheduler.place();
+    if (isQuiet()) {
+        if (!std::exchange(m_isQuietEndDue, true))
+            m_timers.after(QuietAfterPause, [this] {
+                m_isQuietEndDue = false;
+                place();
+            });
+    } else {
+        m_scheduler.place();
+    }
     tellWaiting();
     armExpiry();
 }
@@ -621,6 +638,18 @@
         });
 }
 
+void BatchHost::watchPauses()
+{
+    m_pause.turn(sinceBoot());
+    m_timers.after(PauseCheckInterval, [this] { watchPauses(); });
+}
+
+bool BatchHost::isQuiet()
+{
+    m_pause.turn(sinceBoot());
+    return m_pause.isQuiet();
+}
+
 void BatchHost::checkSuspension()
 {
     if (!m_suspension.wasSuspended(m_clock.now(), sinceBoot()))
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -2,6 +2,7 @@
 
 #include "anvilmill/clock.h"
 #include "anvilmill/executor/neighbourhood.h"
+#include "anvilmill/executor/pausewatch.h"
 #include "anvilmill/executor/suspensiondetector.h"
 #include "anvilmill/scheduling/batchscheduler.h"
 #include "anvilmill/scheduling/roomview.h"
@@ -155,6 +156,8 @@
     void placeSoon();
     void place();
     void checkSuspension();
+    void watchPauses();
+    [[nodiscard]] bool isQuiet();
     void armExpiry();
 
     const Clock &m_clock;
@@ -171,6 +174,7 @@
     RunBook m_runs;
     EarlyClaims m_earlyClaims;
     SuspensionDetector m_suspension;
+    PauseWatch m_pause;
     Neighbourhood m_neighbourhood;
     std::map<std::string, ExecutorRegistration> m_executors;
     std::map<RunId, Placed> m_placed;
@@ -181,6 +185,7 @@
     std::size_t m_heartbeats = 0;
     JobNumber m_lastJob;
     bool m_isPlacingDue = false;
+    bool m_isQuietEndDue = false;
     bool m_hasToldWaiting = false;
     TimerScope m_timers;
 };
--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <thread>
 
 using namespace anvilmill;
 using namespace anvilmill::daemon;
@@ -44,6 +45,7 @@
     CPPUNIT_TEST(claimIsNotAnsweredWithTheEndOfAnEarlierAttempt);
     CPPUNIT_TEST(hostThatIsNoLongerListedIsServed);
     CPPUNIT_TEST(startsWithoutAnswerAreMadeElsewhere);
+    CPPUNIT_TEST(nothingIsStartedRightAfterAPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +207,21 @@
         CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
     }
 
+    // A request that lay in the socket while the host was frozen: its client has sent the job to another
+    // host, and its word of that is read next.
+    void nothingIsStartedRightAfterAPause()
+    {
+        std::this_thread::sleep_for(milliseconds(600));
+        const auto stale = submit(*m_a, "stale", 8, LongestWait);
+        CPPUNIT_ASSERT_EQUAL(0, m_executors->starts());
+        m_a->cancel(*stale);
+        CPPUNIT_ASSERT(m_results["stale"].end == BatchEnd::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(0, m_results["stale"].runs);
+        submit(*m_a, "job", 8, LongestWait);
+        waitFor([&] { return m_results.count("job") > 0; });
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Completed);
+    }
+
     // The executors carry the orders out seconds later, if at all; the caller waits less.
     void startsWithoutAnswerAreMadeElsewhere()
     {
--- a/tests/unit/executor/test_hosts.cpp
+++ b/tests/unit/executor/test_hosts.cpp
@@ -1,6 +1,7 @@
 #include "anvilmill/executor/fence.h"
 #include "anvilmill/executor/holderassignment.h"
 #include "anvilmill/executor/hostlisting.h"
+#include "anvilmill/executor/pausewatch.h"
 #include "anvilmill/executor/suspensiondetector.h"
 #include "anvilmill/manualclock.h"
 
@@ -51,6 +52,7 @@
     CPPUNIT_TEST(entriesThatComeBackChangeNothing);
     CPPUNIT_TEST(announcedLeaveCountsAtOnce);
     CPPUNIT_TEST(suspensionShowsInTheBootClock);
+    CPPUNIT_TEST(pauseIsFollowedByQuiet);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +164,21 @@
         CPPUNIT_ASSERT(!detector.wasSuspended(start + seconds(4), seconds(907)));
     }
 
+    void pauseIsFollowedByQuiet()
+    {
+        PauseWatch watch(milliseconds(400), milliseconds(50));
+        watch.turn(seconds(900));
+        CPPUNIT_ASSERT(!watch.isQuiet());
+        watch.turn(seconds(900) + milliseconds(400));
+        CPPUNIT_ASSERT(!watch.isQuiet());
+        watch.turn(seconds(904));
+        CPPUNIT_ASSERT(watch.isQuiet());
+        watch.turn(seconds(904) + milliseconds(49));
+        CPPUNIT_ASSERT(watch.isQuiet());
+        watch.turn(seconds(904) + milliseconds(50));
+        CPPUNIT_ASSERT(!watch.isQuiet());
+    }
+
 private:
     ManualClock m_clock;
 };
