Test: the fake store answers no call of a host that is gone

Cause: a ctest run beside load crashed in EntryFeedTest::othersWatchWhileTheReaderIsGone: the fake's timers called a store that had been destroyed with its host. The program is not concerned: FleetStore's calls end with it. Change: the fake's timers belong to it (TimerScope).

--- a/tests/fakes/fakeasyncstore.h
+++ b/tests/fakes/fakeasyncstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "anvilmill/platform/asyncstore.h"
-#include "loop/timerqueue.h"
+#include "loop/timerscope.h"
 
 #include <algorithm>
 #include <map>
@@ -35,8 +35,8 @@
 {
 public:
     FakeAsyncStore(daemon::TimerQueue &timers, std::shared_ptr<FakeStoreContents> contents)
-        : m_timers(timers)
-        , m_contents(std::move(contents))
+        : m_contents(std::move(contents))
+        , m_timers(timers)
     {
     }
 
@@ -98,11 +98,12 @@
         m_timers.after(Answer, [handler] { handler(StoreCommit{}); });
     }
 
-    daemon::TimerQueue &m_timers;
     std::shared_ptr<FakeStoreContents> m_contents;
     bool m_isCut = false;
     int m_reads = 0;
     int m_watches = 0;
+    /// Calls under way are not answered once their host is gone.
+    daemon::TimerScope m_timers;
 };
 
 } // namespace anvilmill::tests
