--- /dev/null
+++ b/tests/fakes/unusedport.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+
+namespace anvilmill::tests {
+
+/// \brief The endpoint of a loopback port that nothing listens on; another one each time.
+///
+/// Below the range from which the system gives ports to outgoing connections, which may have any port
+/// of theirs at any moment. Throws std::runtime_error when all are used.
+inline boost::asio::ip::tcp::endpoint unusedEndpoint()
+{
+    constexpr std::uint16_t First = 21000;
+    constexpr std::uint16_t Last = 28000;
+    static std::uint16_t next = First;
+    boost::asio::io_context loop;
+    while (next < Last) {
+        const boost::asio::ip::tcp::endpoint endpoint{boost::asio::ip::make_address_v4("127.0.0.1"),
+                                                      next++};
+        boost::system::error_code error;
+        boost::asio::ip::tcp::acceptor acceptor(loop);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint, error);
+        if (!error)
+            return endpoint;
+    }
+    throw std::runtime_error("no unused port is left");
+}
+
+/// \brief `host:port`, as a host or an executor is listed.
+inline std::string asText(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
+} // namespace anvilmill::tests
