One host reads the executors' entries for a large fleet

Ruled out: reading a data centre's entries alone: their keys don't name it, and the store filters by prefix only. Reading at longer intervals: a leave has to be in force within 2 s.

Change: FeedPlan: in a fleet of more than nine dispatchers the strongest of the data centres' readers reads for all, tells the other readers, and these tell theirs, with the age of what they know. Who isn't told for 1.2 s watches the store, as before. Small fleets keep a reader in each data centre.

Tests: EntryFeedTest newsGoOnThroughARelay, relayReadsForItsListenersWhileItsSourceIsGone, listenersOfARelayWatchWhenTheReaderKnowsNothingRecent; DispatchersTest oneHostReadsTheEntriesForALargeFleet (six readers before), eachDataCentreOfASmallFleetReadsItself.

--- a/include/anvilmill/executor/neighbourhood.h
+++ b/include/anvilmill/executor/neighbourhood.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "anvilmill/executor/feedplan.h"
 #include "anvilmill/executor/holderassignment.h"
 
 #include <string>
@@ -39,6 +40,9 @@
         return m_nearDispatchers;
     }
 
+    /// \brief How this host gets to know the executors' entries.
+    [[nodiscard]] const FeedPlan &feedPlan() const noexcept { return m_feedPlan; }
+
     /// \brief True while all dispatchers hear of room as it changes.
     [[nodiscard]] bool isSmall() const noexcept { return m_isSmall; }
 
@@ -52,6 +56,7 @@
     std::string m_dataCentre;
     HostMembership m_membership;
     HolderAssignment m_assignment;
+    FeedPlan m_feedPlan;
     std::vector<PeerHost> m_neighbours;
     std::vector<std::string> m_close;
     std::vector<std::string> m_nearDispatchers;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -62,11 +62,8 @@
 
     void setMembership(const HostMembership &membership);
 
-    /// \brief The dispatchers of this host's data centre, the strongest first.
-    [[nodiscard]] const std::vector<PeerHost> &dispatchersHere() const
-    {
-        return m_neighbourhood.assignment().dispatchersOf(m_settings.dataCentre);
-    }
+    /// \brief How this host gets to know the executors' entries.
+    [[nodiscard]] const FeedPlan &feedPlan() const noexcept { return m_neighbourhood.feedPlan(); }
 
     /// \brief The connections to other hosts, for what they tell each other beside jobs and runs.
     [[nodiscard]] Mesh &mesh() noexcept { return m_mesh; }
--- a/src/daemon/batch/entryfeed.cpp
+++ b/src/daemon/batch/entryfeed.cpp
@@ -3,6 +3,7 @@
 #include "log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvilmill::daemon {
 
@@ -57,79 +58,78 @@
     beat();
 }
 
-void EntryFeed::setReaders(const std::vector<PeerHost> &dispatchers)
+void EntryFeed::setPlan(const FeedPlan &plan)
 {
-    const std::string before = m_reader;
-    m_reader = dispatchers.empty() ? m_self : dispatchers.front().name;
-    m_others.clear();
-    for (const PeerHost &host : dispatchers) {
-        if (host.name != m_self)
-            m_others.push_back(host.name);
-    }
-    if (m_reader == before)
+    const FeedPlan before = std::exchange(m_plan, plan);
+    // Who had listeners before goes on from what it has told; else each of them reads what it lacks.
+    if (before.listeners.empty())
+        m_toldThrough = m_follower.mirror().revision();
+    if (m_plan.source == before.source)
         return;
-    LogEvent("executor.readerChanged").with("reader", m_reader);
-    // The next reader is given the time in which it hears of this, too.
+    LogEvent("executor.readerChanged")
+            .with("reader", isReader() ? m_self : m_plan.source)
+            .with("listeners", m_plan.listeners.size());
+    // The next source is given the time in which it hears of this, too.
     m_heard = m_clock.now();
-    if (!isReader())
-        return;
-    m_toldThrough = m_follower.mirror().revision();
-    m_untold.clear();
-    m_follower.setWatching(true);
+    if (isReader())
+        m_follower.setWatching(true);
 }
 
 void EntryFeed::followed(const std::vector<StoreItem> &news)
 {
-    m_answered = m_clock.now();
-    if (!isReader())
-        return;
+    m_answered = std::max(m_answered, m_clock.now() - m_takenAge);
     if (m_toldThrough == NoVersion) {
-        // The others read for themselves what was there at the start.
+        // The listeners read for themselves what was there at the start.
         m_toldThrough = m_follower.mirror().revision();
         return;
     }
-    m_untold.insert(m_untold.end(), news.begin(), news.end());
     if (!news.empty())
-        tell();
+        tell(news);
 }
 
 void EntryFeed::beat()
 {
     m_timers.after(BeatInterval, [this] { beat(); });
-    if (isReader())
-        tell();
-    else if (m_clock.now() - m_heard >= SilentAfter)
+    tell({});
+    if (!isReader() && m_clock.now() - m_heard >= SilentAfter)
         m_follower.setWatching(true);
 }
 
-void EntryFeed::tell()
+void EntryFeed::tell(const std::vector<StoreItem> &news)
 {
+    const StoreVersion after = std::exchange(m_toldThrough, m_follower.mirror().revision());
+    if (m_plan.listeners.empty())
+        return;
     wire::meshframe::MeshEntries message;
-    message.after = static_cast<std::int64_t>(m_toldThrough);
-    m_toldThrough = m_follower.mirror().revision();
+    message.after = static_cast<std::int64_t>(after);
     message.through = static_cast<std::int64_t>(m_toldThrough);
     message.ageUs = asMicros(m_clock.now() - m_answered);
-    for (const StoreItem &item : m_untold)
+    for (const StoreItem &item : news)
         message.items.push_back(messageOf(item));
-    m_untold.clear();
     Frame frame;
     frame.host = m_self;
     frame.entries = std::move(message);
-    m_mesh.send(frame, m_others);
+    m_mesh.send(frame, m_plan.listeners);
 }
 
 void EntryFeed::received(const Frame &frame)
 {
-    if (!frame.entries || frame.host != m_reader || !m_follower.isActive())
+    if (!frame.entries || frame.host != m_plan.source || !m_follower.isActive())
         return;
     const wire::meshframe::MeshEntries &message = *frame.entries;
-    if (std::chrono::microseconds(message.ageUs) >= SilentAfter)
+    const std::chrono::microseconds age(message.ageUs);
+    if (age >= SilentAfter)
         return;
     m_heard = m_clock.now();
-    if (static_cast<StoreVersion>(message.after) > m_follower.mirror().revision())
+    m_answered = std::max(m_answered, m_heard - age);
+    if (static_cast<StoreVersion>(message.after) > m_follower.mirror().revision()) {
         m_follower.readAgain();
-    else
+    } else {
+        // The follower calls followed() from within, and throws nothing.
+        m_takenAge = age;
         m_follower.take(itemsOf(message));
+        m_takenAge = {};
+    }
     m_follower.setWatching(false);
 }
 
--- a/src/daemon/batch/entryfeed.h
+++ b/src/daemon/batch/entryfeed.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "anvilmill/clock.h"
-#include "anvilmill/executor/holderassignment.h"
+#include "anvilmill/executor/feedplan.h"
 #include "batch/mesh.h"
 #include "loop/prefixfollower.h"
 #include "loop/timerscope.h"
@@ -11,14 +11,14 @@
 
 namespace anvilmill::daemon {
 
-/// \brief Lets one dispatcher of a data centre read the executors' entries for the others.
+/// \brief Lets few dispatchers watch the executors' entries for the others, by the FeedPlan.
 ///
 /// Load pattern: each executor writes an entry each 1.5 s, of which one in thousands says anything
 /// new. Read by every host, the heartbeats of a thousand executors take a tenth of a weak host's
-/// processor and fill slow links for tens of milliseconds at a time. So the strongest dispatcher
-/// watches the store and tells the others what is new, at once, with the revisions that it covers.
-/// The others read the store themselves when they have missed a part, and watch it while the
-/// reader isn't heard or hears nothing from the store.
+/// processor and fill slow links for tens of milliseconds at a time. So a host that reads them tells
+/// its listeners what is new, at once, with the revisions that it covers, and these tell theirs. A
+/// host reads the store itself when it has missed a part, and watches it while its source isn't heard
+/// or knows nothing recent itself.
 ///
 /// Thread safety: used by the loop's thread alone.
 class EntryFeed
@@ -30,30 +30,31 @@
     EntryFeed(Mesh &mesh, TimerQueue &timers, const Clock &clock, PrefixFollower &follower,
               std::string self);
 
-    /// \brief The dispatchers of the data centre; the first one reads for the others.
-    void setReaders(const std::vector<PeerHost> &dispatchers);
+    void setPlan(const FeedPlan &plan);
 
-    /// \brief The follower has got an answer; \p news is what it says beside heartbeats.
+    /// \brief The follower has got changes, from the store or by received(); \p news is what they say
+    /// beside heartbeats.
     void followed(const std::vector<StoreItem> &news);
 
-    /// \brief Takes what the reader tells.
+    /// \brief Takes what the source tells.
     void received(const Frame &frame);
 
 private:
-    [[nodiscard]] bool isReader() const { return m_reader == m_self; }
+    [[nodiscard]] bool isReader() const { return m_plan.source.empty(); }
     void beat();
-    void tell();
+    void tell(const std::vector<StoreItem> &news);
 
     Mesh &m_mesh;
     const Clock &m_clock;
     PrefixFollower &m_follower;
     std::string m_self;
-    std::string m_reader;
-    std::vector<std::string> m_others;
-    std::vector<StoreItem> m_untold;
+    FeedPlan m_plan;
     StoreVersion m_toldThrough = NoVersion;
+    /// When the store gave the newest answer that is known of here, by this host's clock.
     MonotonicTime m_answered;
     MonotonicTime m_heard;
+    /// Age of what is being taken; zero for what the store has just said.
+    Duration m_takenAge{};
     TimerScope m_timers;
 };
 
--- a/src/lib/executor/neighbourhood.cpp
+++ b/src/lib/executor/neighbourhood.cpp
@@ -24,6 +24,7 @@
     m_assignment = HolderAssignment(membership);
     m_isDispatcher = m_assignment.isDispatcher(m_self);
     m_isSmall = m_assignment.allDispatchers().size() <= MostNearDispatchers + 1;
+    m_feedPlan = feedPlanOf(m_assignment, m_self, m_dataCentre, m_isSmall);
     m_neighbours.clear();
     m_close.clear();
     m_nearDispatchers.clear();
--- a/tests/system/batch/test_entryfeed.cpp
+++ b/tests/system/batch/test_entryfeed.cpp
@@ -1,6 +1,7 @@
 #include "batch/entryfeed.h"
 #include "batch/mesh.h"
 #include "fakes/fakeasyncstore.h"
+#include "fakes/unusedport.h"
 #include "loop/prefixfollower.h"
 #include "loop/timerqueue.h"
 
@@ -14,8 +15,10 @@
 
 using namespace anvilmill;
 using namespace anvilmill::daemon;
+using anvilmill::tests::asText;
 using anvilmill::tests::FakeAsyncStore;
 using anvilmill::tests::FakeStoreContents;
+using anvilmill::tests::unusedEndpoint;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -36,6 +39,9 @@
     CPPUNIT_TEST(missedNewsAreRead);
     CPPUNIT_TEST(removedExecutorStaysAwayWhenTheReaderChanges);
     CPPUNIT_TEST(stoppedFollowerStartsFromNothing);
+    CPPUNIT_TEST(newsGoOnThroughARelay);
+    CPPUNIT_TEST(relayReadsForItsListenersWhileItsSourceIsGone);
+    CPPUNIT_TEST(listenersOfARelayWatchWhenTheReaderKnowsNothingRecent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,10 +52,9 @@
         m_contents = std::make_shared<FakeStoreContents>();
         m_contents->put("servers/e1", "ready");
         m_contents->put("servers/e2", "ready");
-        static std::uint16_t port = 42900;
         for (const char *const name : Names) {
             m_hosts[name] = std::make_unique<Host>();
-            m_ports[name] = port++;
+            m_addresses[name] = unusedEndpoint();
         }
         for (const char *const name : Names)
             open(name);
@@ -154,6 +159,46 @@
         waitFor([this] { return hasNews("third"); });
     }
 
+    void newsGoOnThroughARelay()
+    {
+        setChain();
+        const int second = m_hosts["second"]->store->watches();
+        const int third = m_hosts["third"]->store->watches();
+        m_contents->put("servers/e1", "draining");
+        m_contents->remove("servers/e2");
+        m_contents->put("servers/e3", "ready");
+        waitFor([this] { return hasNews("second") && hasNews("third"); });
+        runFor(milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(second, m_hosts["second"]->store->watches());
+        CPPUNIT_ASSERT_EQUAL(third, m_hosts["third"]->store->watches());
+    }
+
+    void relayReadsForItsListenersWhileItsSourceIsGone()
+    {
+        setChain();
+        const int third = m_hosts["third"]->store->watches();
+        m_hosts["reader"].reset();
+        m_contents->put("servers/e1", "draining");
+        m_contents->remove("servers/e2");
+        m_contents->put("servers/e3", "ready");
+        waitFor([this] { return hasNews("second") && hasNews("third"); });
+        waitFor([this] { return isFed("third"); });
+        // Once it has read what it missed itself at most.
+        CPPUNIT_ASSERT(m_hosts["third"]->store->watches() <= third + 3);
+    }
+
+    void listenersOfARelayWatchWhenTheReaderKnowsNothingRecent()
+    {
+        setChain();
+        m_hosts["reader"]->store->setCut(true);
+        m_hosts["second"]->store->setCut(true);
+        m_contents->put("servers/e1", "draining");
+        m_contents->remove("servers/e2");
+        m_contents->put("servers/e3", "ready");
+        waitFor([this] { return hasNews("third"); });
+        CPPUNIT_ASSERT(!hasNews("second"));
+    }
+
 private:
     struct Host
     {
@@ -167,8 +212,7 @@
     void open(const std::string &name)
     {
         Host &host = *m_hosts[name];
-        const boost::asio::ip::tcp::endpoint address{boost::asio::ip::make_address_v4("127.0.0.1"),
-                                                     m_ports[name]};
+        const boost::asio::ip::tcp::endpoint &address = m_addresses.at(name);
         host.store = std::make_unique<FakeAsyncStore>(*m_timers, m_contents);
         host.mesh =
                 std::make_unique<Mesh>(*m_loop, *m_timers, name, address,
@@ -203,23 +247,29 @@
     void connect(const std::string &name)
     {
         std::vector<PeerHost> others;
-        for (const auto &[other, port] : m_ports) {
+        for (const auto &[other, address] : m_addresses) {
             if (other != name)
-                others.push_back({other, "dc", "127.0.0.1:" + std::to_string(port), false});
+                others.push_back({other, "dc", asText(address), false});
         }
         m_hosts[name]->mesh->setHosts(others);
     }
 
+    /// The first host reads for the others.
     void setReaders(const std::vector<std::string> &names)
     {
-        std::vector<PeerHost> hosts;
-        hosts.reserve(names.size());
-        for (const std::string &name : names)
-            hosts.push_back({name, "dc", "", false});
-        for (const auto &[name, host] : m_hosts) {
-            if (host)
-                host->feed->setReaders(hosts);
-        }
+        m_hosts[names.front()]->feed->setPlan({"", {names.begin() + 1, names.end()}});
+        for (std::size_t i = 1; i < names.size(); ++i)
+            m_hosts[names[i]]->feed->setPlan({names.front(), {}});
+    }
+
+    /// The reader tells the second host, which tells the third.
+    void setChain()
+    {
+        m_hosts["reader"]->feed->setPlan({"", {"second"}});
+        m_hosts["second"]->feed->setPlan({"reader", {"third"}});
+        m_hosts["third"]->feed->setPlan({"second", {}});
+        runFor(milliseconds(600));
+        waitFor([this] { return isFed("second") && isFed("third"); });
     }
 
     /// Executors write entries now and then that say nothing new.
@@ -262,7 +312,7 @@
     std::unique_ptr<TimerQueue> m_timers;
     std::shared_ptr<FakeStoreContents> m_contents;
     std::map<std::string, std::unique_ptr<Host>> m_hosts;
-    std::map<std::string, std::uint16_t> m_ports;
+    std::map<std::string, boost::asio::ip::tcp::endpoint> m_addresses;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryFeedTest);
--- a/tests/unit/executor/test_dispatchers.cpp
+++ b/tests/unit/executor/test_dispatchers.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 using namespace anvilmill;
 
@@ -59,6 +62,8 @@
     CPPUNIT_TEST(weakHostHasFewNeighbours);
     CPPUNIT_TEST(neighboursAreMutual);
     CPPUNIT_TEST(roomIsToldToHostsThatPlace);
+    CPPUNIT_TEST(oneHostReadsTheEntriesForALargeFleet);
+    CPPUNIT_TEST(eachDataCentreOfASmallFleetReadsItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -163,6 +168,68 @@
         // Cut off from the store, it may still think that it dispatches.
         CPPUNIT_ASSERT(strong.needsRoom("unlisted"));
     }
+
+    // One reader for each data centre read 1.3 MB a second with 3,000 executors, each of them.
+    void oneHostReadsTheEntriesForALargeFleet()
+    {
+        std::map<std::string, FeedPlan> plans = dispatchersPlans(largeSite());
+        const auto readers = readersOf(plans);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, readers.size());
+        std::set<std::string> told = readers;
+        std::vector<std::string> next(readers.begin(), readers.end());
+        while (!next.empty()) {
+            const std::string host = next.back();
+            next.pop_back();
+            const FeedPlan &plan = plans.at(host);
+            CPPUNIT_ASSERT(plan.listeners.size() <= 13);
+            for (const std::string &listener : plan.listeners) {
+                CPPUNIT_ASSERT_EQUAL(host, plans.at(listener).source);
+                CPPUNIT_ASSERT(told.insert(listener).second);
+                next.push_back(listener);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(plans.size(), told.size());
+    }
+
+    void eachDataCentreOfASmallFleetReadsItself()
+    {
+        HostMembership membership;
+        membership.revision = 1;
+        for (int i = 0; i < 9; ++i)
+            membership.hosts.push_back(
+                    {"host" + std::to_string(i), "dc" + std::to_string(i % 3), "", false, 400});
+        const std::map<std::string, FeedPlan> plans = dispatchersPlans(membership);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, readersOf(plans).size());
+        for (const auto &[host, plan] : plans) {
+            if (plan.source.empty())
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan.listeners.size());
+        }
+    }
+
+private:
+    static std::map<std::string, FeedPlan> dispatchersPlans(const HostMembership &membership)
+    {
+        std::map<std::string, FeedPlan> plans;
+        for (const PeerHost &host : membership.hosts) {
+            Neighbourhood neighbourhood(host.name, host.dataCentre);
+            neighbourhood.adopt(membership);
+            if (neighbourhood.isDispatcher())
+                plans[host.name] = neighbourhood.feedPlan();
+            else
+                CPPUNIT_ASSERT(neighbourhood.feedPlan().listeners.empty());
+        }
+        return plans;
+    }
+
+    static std::set<std::string> readersOf(const std::map<std::string, FeedPlan> &plans)
+    {
+        std::set<std::string> readers;
+        for (const auto &[host, plan] : plans) {
+            if (plan.source.empty())
+                readers.insert(host);
+        }
+        return readers;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchersTest);
