Feed: a read of all entries is not begun again by each telling

Cause: a host that reads the executors' entries and is told meanwhile of something that goes on from a later revision read again, and dropped the answer that was coming.

Ruled out: news lost on the way (each telling names the revision that it goes on from, and a gap was noticed each time); a reader behind (its processor share was not used up).

Change: tellings that come during a read are kept and taken after it, in order.

--- a/src/daemon/batch/entryfeed.cpp
+++ b/src/daemon/batch/entryfeed.cpp
@@ -14,6 +14,9 @@
 /// waited for: a leaving executor has to be known within 2 s.
 constexpr Duration SilentAfter = std::chrono::milliseconds(1200);
 
+/// Tellings of a read's time; whoever misses one reads again.
+constexpr std::size_t MostKept = 100;
+
 std::int64_t asMicros(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -122,15 +125,37 @@
         return;
     m_heard = m_clock.now();
     m_answered = std::max(m_answered, m_heard - age);
-    if (static_cast<StoreVersion>(message.after) > m_follower.mirror().revision()) {
-        m_follower.readAgain();
+    if (m_follower.isReading()) {
+        // Begun again at each telling, a read that takes longer than a beat would never end.
+        if (m_kept.size() < MostKept)
+            m_kept.push_back(message);
     } else {
-        // The follower calls followed() from within, and throws nothing.
-        m_takenAge = age;
-        m_follower.take(itemsOf(message));
-        m_takenAge = {};
+        takeKept();
+        take(message, age);
     }
     m_follower.setWatching(false);
 }
 
+void EntryFeed::take(const wire::meshframe::MeshEntries &message, Duration age)
+{
+    if (static_cast<StoreVersion>(message.after) > m_follower.mirror().revision()) {
+        m_follower.readAgain();
+        return;
+    }
+    // The follower calls followed() from within, and throws nothing.
+    m_takenAge = age;
+    m_follower.take(itemsOf(message));
+    m_takenAge = {};
+}
+
+// Each goes on from the one before, so that the first one after a gap has the rest read again.
+void EntryFeed::takeKept()
+{
+    const auto kept = std::exchange(m_kept, {});
+    for (const wire::meshframe::MeshEntries &message : kept) {
+        if (!m_follower.isReading())
+            take(message, SilentAfter);
+    }
+}
+
 } // namespace anvilmill::daemon
--- a/src/daemon/batch/entryfeed.h
+++ b/src/daemon/batch/entryfeed.h
@@ -43,6 +43,8 @@
     [[nodiscard]] bool isReader() const { return m_plan.source.empty(); }
     void beat();
     void tell(const std::vector<StoreItem> &news);
+    void take(const wire::meshframe::MeshEntries &message, Duration age);
+    void takeKept();
 
     Mesh &m_mesh;
     const Clock &m_clock;
@@ -53,6 +55,8 @@
     /// When the store gave the newest answer that is known of here, by this host's clock.
     MonotonicTime m_answered;
     MonotonicTime m_heard;
+    /// What was told while a read was under way, which may have begun before.
+    std::vector<wire::meshframe::MeshEntries> m_kept;
     /// Age of what is being taken; zero for what the store has just said.
     Duration m_takenAge{};
     TimerScope m_timers;
--- a/src/daemon/loop/prefixfollower.cpp
+++ b/src/daemon/loop/prefixfollower.cpp
@@ -81,6 +81,7 @@
 {
     m_isBusy = true;
     m_needsRead = false;
+    m_isReadUnderWay = true;
     m_store.readAll(m_prefix, [this](const StoreItems &answer) { readDone(answer); });
 }
 
@@ -99,6 +100,7 @@
 
 void PrefixFollower::readDone(const StoreItems &answer)
 {
+    m_isReadUnderWay = false;
     if (isOutdated())
         return;
     if (answer.outcome != CallOutcome::Done) {
--- a/src/daemon/loop/prefixfollower.h
+++ b/src/daemon/loop/prefixfollower.h
@@ -59,6 +59,9 @@
     /// \brief Reads everything anew.
     void readAgain();
 
+    /// \brief True while a read is due or under way: what is held is not whole, or lacks something.
+    [[nodiscard]] bool isReading() const noexcept { return m_needsRead || m_isReadUnderWay; }
+
     /// \brief Takes changes that another host has read; no effect before the first read.
     void take(const StoreItems &changes);
 
@@ -87,6 +90,7 @@
     bool m_isReachable = false;
     bool m_hasFailed = false;
     bool m_needsRead = true;
+    bool m_isReadUnderWay = false;
     bool m_isActive = false;
     bool m_isWatching = true;
     /// A call or a pause before the next one is under way.
--- a/tests/fakes/fakeasyncstore.h
+++ b/tests/fakes/fakeasyncstore.h
@@ -41,21 +41,21 @@
     }
 
     void setCut(bool isCut) { m_isCut = isCut; }
+    /// How long reads take; they say what there was when they began.
+    void setReadTime(Duration time) { m_readTime = time; }
     [[nodiscard]] int reads() const { return m_reads; }
     [[nodiscard]] int watches() const { return m_watches; }
 
     void readAll(const std::string &, ItemsHandler handler) override
     {
         ++m_reads;
-        m_timers.after(Answer, [this, handler = std::move(handler)] {
-            StoreItems answer;
-            if (!m_isCut) {
-                answer.outcome = CallOutcome::Done;
-                answer.revision = m_contents->revision;
-                for (const auto &[key, item] : m_contents->items)
-                    answer.items.push_back(item);
-            }
-            handler(answer);
+        StoreItems answer;
+        answer.outcome = CallOutcome::Done;
+        answer.revision = m_contents->revision;
+        for (const auto &[key, item] : m_contents->items)
+            answer.items.push_back(item);
+        m_timers.after(m_readTime, [this, answer, handler = std::move(handler)] {
+            handler(m_isCut ? StoreItems{} : answer);
         });
     }
 
@@ -99,6 +99,7 @@
     }
 
     std::shared_ptr<FakeStoreContents> m_contents;
+    Duration m_readTime = Answer;
     bool m_isCut = false;
     int m_reads = 0;
     int m_watches = 0;
--- a/tests/fakes/unusedport.h
+++ b/tests/fakes/unusedport.h
@@ -20,8 +20,8 @@
     static std::uint16_t next = First;
     boost::asio::io_context loop;
     while (next < Last) {
-        const boost::asio::ip::tcp::endpoint endpoint{boost::asio::ip::make_address_v4("127.0.0.1"),
-                                                      next++};
+        boost::asio::ip::tcp::endpoint endpoint{boost::asio::ip::make_address_v4("127.0.0.1"),
+                                                next++};
         boost::system::error_code error;
         boost::asio::ip::tcp::acceptor acceptor(loop);
         acceptor.open(endpoint.protocol());
--- a/tests/system/batch/test_entryfeed.cpp
+++ b/tests/system/batch/test_entryfeed.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(missedNewsAreRead);
     CPPUNIT_TEST(removedExecutorStaysAwayWhenTheReaderChanges);
     CPPUNIT_TEST(stoppedFollowerStartsFromNothing);
+    CPPUNIT_TEST(slowReadIsNotBegunAgainByEachTelling);
+    CPPUNIT_TEST(newsToldDuringAReadAreNotLost);
     CPPUNIT_TEST(newsGoOnThroughARelay);
     CPPUNIT_TEST(relayReadsForItsListenersWhileItsSourceIsGone);
     CPPUNIT_TEST(listenersOfARelayWatchWhenTheReaderKnowsNothingRecent);
@@ -159,6 +161,27 @@
         waitFor([this] { return hasNews("third"); });
     }
 
+    // Load: a hundred dispatchers that start at once read three thousand entries each, which takes the
+    // store's link for seconds, while the reader tells each of them that they have missed something.
+    void slowReadIsNotBegunAgainByEachTelling()
+    {
+        restartFollower("third", milliseconds(900));
+        waitFor([this] { return !m_hosts["third"]->entries.empty(); });
+        CPPUNIT_ASSERT(m_hosts["third"]->store->reads() <= 2);
+    }
+
+    void newsToldDuringAReadAreNotLost()
+    {
+        restartFollower("third", milliseconds(900));
+        runFor(milliseconds(300));
+        m_contents->put("servers/e1", "draining");
+        m_contents->remove("servers/e2");
+        m_contents->put("servers/e3", "ready");
+        waitFor([this] { return !m_hosts["third"]->entries.empty(); });
+        waitFor([this] { return hasNews("third"); });
+        CPPUNIT_ASSERT(m_hosts["third"]->store->reads() <= 2);
+    }
+
     void newsGoOnThroughARelay()
     {
         setChain();
@@ -220,15 +243,33 @@
                                                       host.feed->received(frame);
                                                   },
                                                   [](const std::string &) {}});
+        connect(name);
+        openFollower(host, name);
+    }
+
+    void openFollower(Host &host, const std::string &name)
+    {
         host.follower = std::make_unique<PrefixFollower>(
                 *host.store, *m_timers, m_random, "servers/", FollowPace{},
                 [&host](const std::vector<StoreItem> &changes) { take(host, changes); });
         host.feed =
                 std::make_unique<EntryFeed>(*host.mesh, *m_timers, m_clock, *host.follower, name);
-        connect(name);
         host.follower->start();
     }
 
+    /// As when the host's process starts.
+    void restartFollower(const std::string &name, Duration readTime)
+    {
+        Host &host = *m_hosts[name];
+        host.follower->stop();
+        host.entries.clear();
+        host.store = std::make_unique<FakeAsyncStore>(*m_timers, m_contents);
+        host.store->setReadTime(readTime);
+        host.feed.reset();
+        openFollower(host, name);
+        host.feed->setPlan({"reader", {}});
+    }
+
     static void take(Host &host, const std::vector<StoreItem> &changes)
     {
         std::vector<StoreItem> news;
