Membership: its changes cost each host less as the fleet grows

Hosts that start together made up to fifty changes a second, on every host.

Change: entries are decoded as they change; lists are compared by a set; a host that isn't among the dispatchers of an executor's data centre works out no holder (HolderAssignment::holds); changes are taken together for 100 ms.

Ruled out: skipping a membership with the same hosts: a restarted host must hold under a later fence.

--- a/include/anvilmill/executor/holderassignment.h
+++ b/include/anvilmill/executor/holderassignment.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace anvilmill {
@@ -69,10 +70,19 @@
     [[nodiscard]] std::optional<std::string> holderOf(const std::string &executor,
                                                       const std::string &dataCentre) const;
 
+    /// \brief As holderOf() names \p host; a host of another data centre costs one look-up.
+    [[nodiscard]] bool holds(const std::string &host, const std::string &executor,
+                             const std::string &dataCentre) const;
+
 private:
+    [[nodiscard]] const std::vector<PeerHost> &candidatesFor(const std::string &dataCentre) const;
+
     StoreVersion m_revision = NoVersion;
     std::map<std::string, std::vector<PeerHost>> m_byDataCentre;
     std::vector<PeerHost> m_all;
+    /// Strength of each dispatcher.
+    std::unordered_map<std::string, double> m_strengths;
+    double m_totalStrength = 0.0;
 };
 
 } // namespace anvilmill
--- a/include/anvilmill/executor/neighbourhood.h
+++ b/include/anvilmill/executor/neighbourhood.h
@@ -4,6 +4,7 @@
 #include "anvilmill/executor/holderassignment.h"
 
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace anvilmill {
@@ -33,6 +34,8 @@
     /// \brief Neighbours that hear of this host each heartbeat: those of its data centre.
     [[nodiscard]] const std::vector<std::string> &closeHosts() const noexcept { return m_close; }
 
+    [[nodiscard]] bool isClose(const std::string &host) const;
+
     /// \brief Dispatchers that hear of room as it changes: all while they are few, else those of the
     /// own data centre. None if this host holds no executors.
     [[nodiscard]] const std::vector<std::string> &nearDispatchers() const noexcept
@@ -54,7 +57,8 @@
 
     std::string m_self;
     std::string m_dataCentre;
-    HostMembership m_membership;
+    /// All hosts that are listed, and whether they are leaving.
+    std::unordered_map<std::string, bool> m_listed;
     HolderAssignment m_assignment;
     FeedPlan m_feedPlan;
     std::vector<PeerHost> m_neighbours;
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -88,8 +88,9 @@
 void HolderService::assignOne(Entry &entry)
 {
     const ExecutorRegistration &registration = entry.executor.registration();
-    const auto holder = m_assignment.holderOf(registration.id, registration.dataCentre);
-    const bool isOurs = holder == m_self;
+    // Hundreds of hosts that start at once change the membership dozens of times, for thousands of
+    // executors each.
+    const bool isOurs = m_assignment.holds(m_self, registration.id, registration.dataCentre);
     if (isOurs == entry.executor.isHeld())
         return;
     const std::size_t runs = entry.executor.runs();
@@ -101,7 +102,8 @@
     LogEvent(isOurs ? "executor.takenOver" : "executor.released")
             .with("executor", registration.id)
             .with("membership", m_assignment.revision())
-            .with("holder", holder.value_or("none"))
+            .with("holder",
+                  m_assignment.holderOf(registration.id, registration.dataCentre).value_or("none"))
             .with("fence", entry.executor.fence())
             .with("runs", runs);
     noteRoom(entry);
--- a/src/daemon/batch/hostregistry.cpp
+++ b/src/daemon/batch/hostregistry.cpp
@@ -11,6 +11,17 @@
 
 namespace {
 
+/// When hundreds of hosts start together, their entries are taken a few dozen at a time: each change of
+/// the membership is worked out by every host, for every executor.
+constexpr Duration EntriesGap = std::chrono::milliseconds(100);
+
+FollowPace entriesPace()
+{
+    FollowPace pace;
+    pace.watchGap = EntriesGap;
+    return pace;
+}
+
 std::string encoded(const PeerHost &host, std::uint64_t incarnation)
 {
     wire::hostentry::HostEntry entry;
@@ -52,8 +63,8 @@
     , m_incarnation(incarnation)
     , m_handler(std::move(handler))
     , m_listing(clock, settings.settleDelay)
-    , m_follower(store, timers, random, settings.prefix, {},
-                 [this](const std::vector<StoreItem> &) { entriesChanged(); })
+    , m_follower(store, timers, random, settings.prefix, entriesPace(),
+                 [this](const std::vector<StoreItem> &changes) { entriesChanged(changes); })
     , m_timers(timers)
 {
 }
@@ -132,14 +143,19 @@
     m_timers.after(delay, [this, step] { (this->*step)(); });
 }
 
-void HostRegistry::entriesChanged()
+void HostRegistry::entriesChanged(const std::vector<StoreItem> &changes)
 {
+    for (const StoreItem &item : changes) {
+        m_hosts.erase(item.key);
+        if (item.isRemoved)
+            continue;
+        if (auto host = decoded(item.key.substr(m_settings.prefix.size()), item.value))
+            m_hosts.emplace(item.key, std::move(*host));
+    }
     HostMembership membership;
     membership.revision = m_follower.mirror().revision();
-    for (const auto &[key, item] : m_follower.mirror().items()) {
-        if (auto host = decoded(key.substr(m_settings.prefix.size()), item.value))
-            membership.hosts.push_back(std::move(*host));
-    }
+    for (const auto &[key, host] : m_hosts)
+        membership.hosts.push_back(host);
     m_listing.listed(std::move(membership));
     adoptDue();
 }
--- a/src/daemon/batch/hostregistry.h
+++ b/src/daemon/batch/hostregistry.h
@@ -7,7 +7,9 @@
 #include "loop/timerscope.h"
 
 #include <functional>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace anvilmill {
 class RandomSource;
@@ -58,7 +60,7 @@
     void renewed(const StoreCommit &answer);
     void retry(void (HostRegistry::*step)());
     void later(void (HostRegistry::*step)(), Duration delay);
-    void entriesChanged();
+    void entriesChanged(const std::vector<StoreItem> &changes);
     void adoptDue();
 
     AsyncStore &m_store;
@@ -68,6 +70,8 @@
     std::uint64_t m_incarnation;
     MembershipHandler m_handler;
     HostListing m_listing;
+    /// The entries that can be read, by key.
+    std::map<std::string, PeerHost> m_hosts;
     PrefixFollower m_follower;
     LeaseId m_lease = 0;
     bool m_hasLeft = false;
--- a/src/lib/executor/holderassignment.cpp
+++ b/src/lib/executor/holderassignment.cpp
@@ -88,6 +88,9 @@
         auto &dispatchers = m_byDataCentre[dataCentre] = strongestOf(std::move(local));
         m_all.insert(m_all.end(), dispatchers.begin(), dispatchers.end());
     }
+    for (const PeerHost &host : m_all)
+        m_strengths[host.name] = strengthOf(host);
+    m_totalStrength = totalStrength(m_all);
 }
 
 const std::vector<PeerHost> &HolderAssignment::dispatchersOf(const std::string &dataCentre) const
@@ -99,21 +102,34 @@
 
 bool HolderAssignment::isDispatcher(const std::string &host) const
 {
-    return shareOf(host) > 0.0;
+    return m_strengths.count(host) > 0;
 }
 
 double HolderAssignment::shareOf(const std::string &host) const
 {
-    const auto found = std::find_if(m_all.begin(), m_all.end(),
-                                    [&](const PeerHost &each) { return each.name == host; });
-    return found == m_all.end() ? 0.0 : strengthOf(*found) / totalStrength(m_all);
+    const auto found = m_strengths.find(host);
+    return found == m_strengths.end() ? 0.0 : found->second / m_totalStrength;
+}
+
+const std::vector<PeerHost> &HolderAssignment::candidatesFor(const std::string &dataCentre) const
+{
+    const std::vector<PeerHost> &local = dispatchersOf(dataCentre);
+    return local.empty() ? m_all : local;
+}
+
+bool HolderAssignment::holds(const std::string &host, const std::string &executor,
+                             const std::string &dataCentre) const
+{
+    const std::vector<PeerHost> &candidates = candidatesFor(dataCentre);
+    const bool isCandidate = std::any_of(candidates.begin(), candidates.end(),
+                                         [&](const PeerHost &each) { return each.name == host; });
+    return isCandidate && holderOf(executor, dataCentre) == host;
 }
 
 std::optional<std::string> HolderAssignment::holderOf(const std::string &executor,
                                                       const std::string &dataCentre) const
 {
-    const std::vector<PeerHost> &local = dispatchersOf(dataCentre);
-    const std::vector<PeerHost> &candidates = local.empty() ? m_all : local;
+    const std::vector<PeerHost> &candidates = candidatesFor(dataCentre);
     const PeerHost *holder = nullptr;
     double highest = 0.0;
     for (const PeerHost &host : candidates) {
--- a/src/lib/executor/hostlisting.cpp
+++ b/src/lib/executor/hostlisting.cpp
@@ -1,6 +1,8 @@
 #include "anvilmill/executor/hostlisting.h"
 
 #include <algorithm>
+#include <string>
+#include <unordered_set>
 
 namespace anvilmill {
 
@@ -22,10 +24,11 @@
 
 bool HostListing::isHostMissing() const
 {
+    std::unordered_set<std::string> listed;
+    for (const PeerHost &host : m_listed.hosts)
+        listed.insert(host.name);
     return std::any_of(m_adopted.hosts.begin(), m_adopted.hosts.end(), [&](const PeerHost &host) {
-        const auto isSame = [&](const PeerHost &other) { return other.name == host.name; };
-        return !host.isLeaving
-               && std::none_of(m_listed.hosts.begin(), m_listed.hosts.end(), isSame);
+        return !host.isLeaving && listed.count(host.name) == 0;
     });
 }
 
--- a/src/lib/executor/neighbourhood.cpp
+++ b/src/lib/executor/neighbourhood.cpp
@@ -20,7 +20,9 @@
 
 void Neighbourhood::adopt(const HostMembership &membership)
 {
-    m_membership = membership;
+    m_listed.clear();
+    for (const PeerHost &host : membership.hosts)
+        m_listed[host.name] = host.isLeaving;
     m_assignment = HolderAssignment(membership);
     m_isDispatcher = m_assignment.isDispatcher(m_self);
     m_isSmall = m_assignment.allDispatchers().size() <= MostNearDispatchers + 1;
@@ -50,12 +52,15 @@
     return isLocal && (host.isLeaving || m_assignment.isDispatcher(host.name));
 }
 
+bool Neighbourhood::isClose(const std::string &host) const
+{
+    return std::find(m_close.begin(), m_close.end(), host) != m_close.end();
+}
+
 bool Neighbourhood::needsRoom(const std::string &host) const
 {
-    const auto listed = std::find_if(m_membership.hosts.begin(), m_membership.hosts.end(),
-                                     [&](const PeerHost &each) { return each.name == host; });
-    return listed == m_membership.hosts.end() || listed->isLeaving
-           || m_assignment.isDispatcher(host);
+    const auto listed = m_listed.find(host);
+    return listed == m_listed.end() || listed->second || m_assignment.isDispatcher(host);
 }
 
 } // namespace anvilmill
--- a/tests/unit/executor/test_dispatchers.cpp
+++ b/tests/unit/executor/test_dispatchers.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(weakHostHasFewNeighbours);
     CPPUNIT_TEST(neighboursAreMutual);
     CPPUNIT_TEST(roomIsToldToHostsThatPlace);
+    CPPUNIT_TEST(eachExecutorIsHeldByTheHostThatIsNamed);
     CPPUNIT_TEST(oneHostReadsTheEntriesForALargeFleet);
     CPPUNIT_TEST(eachDataCentreOfASmallFleetReadsItself);
     CPPUNIT_TEST_SUITE_END();
@@ -169,6 +170,21 @@
         CPPUNIT_ASSERT(strong.needsRoom("unlisted"));
     }
 
+    void eachExecutorIsHeldByTheHostThatIsNamed()
+    {
+        const HolderAssignment assignment(largeSite());
+        for (const std::string dataCentre : {"dc0", "dc5", "elsewhere"}) {
+            for (int i = 0; i < Executors; ++i) {
+                const std::string executor = "executor-" + std::to_string(i);
+                const auto holder = assignment.holderOf(executor, dataCentre);
+                for (const PeerHost &host : assignment.allDispatchers())
+                    CPPUNIT_ASSERT_EQUAL(holder == host.name,
+                                         assignment.holds(host.name, executor, dataCentre));
+                CPPUNIT_ASSERT(!assignment.holds(nameOf(0, "weak", 1), executor, dataCentre));
+            }
+        }
+    }
+
     // One reader for each data centre read 1.3 MB a second with 3,000 executors, each of them.
     void oneHostReadsTheEntriesForALargeFleet()
     {
