Room is told to far dispatchers at a pace that doesn't grow with the fleet

Change: RoomPace: near dispatchers, which hear each change in order anyhow, hear all room each second, and each 250 ms while their jobs wait; far ones each second beside 42 of them and each two seconds beside 92, four times as often while jobs wait. A host that is connected anew hears all room at once. What counts as stale follows the pace. Small fleets tell as before.

Ruled out: telling far ones only while they wait: a data centre without executors would refuse before it asked.

--- a/include/anvilmill/scheduling/roomview.h
+++ b/include/anvilmill/scheduling/roomview.h
@@ -72,8 +72,12 @@
     /// time. Empty: no such preference.
     void setFirstHost(const std::string &host);
 
-    /// \brief How old a report may be to be counted on.
-    void setStaleAfter(Duration staleAfter) noexcept { m_staleAfter = staleAfter; }
+    /// \brief How old a report may be to be counted on: of the own data centre's executors, of others.
+    void setStaleAfter(Duration own, Duration others) noexcept
+    {
+        m_ownStaleAfter = own;
+        m_othersStaleAfter = others;
+    }
 
     /// \brief Learned speed relative to an average executor.
     void setSpeed(std::size_t executor, double speed);
@@ -120,11 +124,18 @@
         bool hasReport = false;
     };
 
+    /// Reports from before are not counted on: one reading of the clock for all entries.
+    struct Oldest
+    {
+        MonotonicTime own;
+        MonotonicTime others;
+    };
+
     [[nodiscard]] static bool isUsable(const Entry &entry, const std::string &service);
-    /// Reports from before \p oldest are not counted on: one reading of the clock for all entries.
-    [[nodiscard]] static bool isRecent(const Entry &entry, MonotonicTime oldest);
-    [[nodiscard]] static bool offers(const Entry &entry, const RoomQuery &query,
-                                     MonotonicTime oldest);
+    [[nodiscard]] Oldest oldest() const;
+    [[nodiscard]] bool isRecent(const Entry &entry, const Oldest &oldest) const;
+    [[nodiscard]] bool offers(const Entry &entry, const RoomQuery &query,
+                              const Oldest &oldest) const;
     [[nodiscard]] bool isBetter(const Entry &left, const Entry &right) const;
     [[nodiscard]] bool isBetterToAsk(const Entry &left, const Entry &right) const;
     [[nodiscard]] static bool isSlow(const Entry &entry);
@@ -136,7 +147,8 @@
     std::string m_firstHost;
     /// Each host scans from elsewhere, so that equal executors are not chosen by all at a time.
     std::size_t m_scanStart = 0;
-    Duration m_staleAfter;
+    Duration m_ownStaleAfter;
+    Duration m_othersStaleAfter;
     std::vector<Entry> m_entries;
     std::unordered_map<std::string, std::size_t> m_indexes;
     std::size_t m_listed = 0;
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -27,8 +27,6 @@
 constexpr Duration AllRoomInterval = std::chrono::milliseconds(250);
 /// Hosts of other data centres that share no runs with this one hear each fourth telling.
 constexpr std::size_t HeartbeatsForAll = 4;
-/// Room that was told longer ago is not counted on: three tellings were missed.
-constexpr Duration RoomStaleAfter = std::chrono::milliseconds(900);
 /// A host that is not heard for this long is not waited for: its runs here are stopped, and the
 /// connection to it is made anew. Short of the 1.3 s after which clients come again.
 constexpr Duration SilentAfter = std::chrono::milliseconds(900);
@@ -64,7 +62,7 @@
     : m_clock(clock)
     , m_metrics(metrics)
     , m_settings(settings)
-    , m_view(clock, settings.dataCentre, RoomStaleAfter)
+    , m_view(clock, settings.dataCentre, roomPaceOf(0, true, AllRoomInterval).nearStaleAfter)
     , m_scheduler(clock, random, m_view, *this)
     , m_holder(clock, timers, calls, metrics, settings.hold,
                {[this](const RunEnd &end, const std::string &executor) { runEnded(end, executor); },
@@ -148,7 +146,10 @@
     m_relay.setDispatchers(assignment.dispatchersOf(m_settings.dataCentre));
     m_view.setOwnDataCentreFirst(!isSmall);
     m_view.setFirstHost(m_settings.name);
-    m_view.setStaleAfter(isSmall ? RoomStaleAfter : FarSilentAfter);
+    const std::size_t farDispatchers = assignment.allDispatchers().size()
+                                       - assignment.dispatchersOf(m_settings.dataCentre).size();
+    m_roomPace = roomPaceOf(farDispatchers, isSmall, AllRoomInterval);
+    m_view.setStaleAfter(m_roomPace.nearStaleAfter, m_roomPace.farStaleAfter);
     m_scheduler.setShare(isDispatcher() ? assignment.shareOf(m_settings.name) : 1.0);
 }
 
@@ -346,14 +347,24 @@
         m_hasToldWaiting = false;
         tellWaiting();
     }
-    const bool isForAll = m_heartbeats++ % HeartbeatsForAll == 0;
-    if (isForAll)
+    const std::size_t heartbeat = m_heartbeats++;
+    const bool isForAll = heartbeat % HeartbeatsForAll == 0;
+    const std::set<std::string> sharing = heartbeatHosts();
+    std::vector<std::string> hosts(sharing.begin(), sharing.end());
+    if (isForAll) {
         m_mesh.setHosts(m_peers.hostsToConnect());
-    std::vector<std::string> placing;
+        hosts = m_mesh.connectedHosts();
+    }
+    std::vector<std::string> told;
     std::vector<std::string> others;
-    for (const std::string &host : isForAll ? m_mesh.connectedHosts() : heartbeatHosts())
-        (m_neighbourhood.needsRoom(host) ? placing : others).push_back(host);
-    m_teller.tell(rooms, placing);
+    for (const std::string &host : hosts) {
+        const bool isNear = m_neighbourhood.isClose(host);
+        const bool isActive = isNear ? m_teller.isWaiting(host) : sharing.count(host) > 0;
+        const bool isTold =
+                m_neighbourhood.needsRoom(host) && m_roomPace.isDue(heartbeat, isNear, isActive);
+        (isTold ? told : others).push_back(host);
+    }
+    m_teller.tell(rooms, told);
     m_teller.tell({}, others);
     if (m_clock.now() >= m_loadDue)
         logLoad();
@@ -374,7 +385,7 @@
 
 // Hosts that have to know soon when this one is gone: those of its data centre, and those whose runs
 // or jobs are here or which have runs or jobs of this host. They count this one among theirs too.
-std::vector<std::string> BatchHost::heartbeatHosts() const
+std::set<std::string> BatchHost::heartbeatHosts() const
 {
     std::set<std::string> hosts = m_runs.owners();
     const std::vector<std::string> &close = m_neighbourhood.closeHosts();
@@ -384,7 +395,7 @@
     hosts.insert(m_teller.waitingHosts().begin(), m_teller.waitingHosts().end());
     for (const auto &[run, placed] : m_placed)
         hosts.insert(placed.holder);
-    return {hosts.begin(), hosts.end()};
+    return hosts;
 }
 
 void BatchHost::logLoad()
@@ -501,6 +512,9 @@
     if (!frame)
         return;
     frame->areAllClaims = true;
+    // What was told while there was no connection is missing there.
+    if (m_neighbourhood.needsRoom(host))
+        addAllRoom(*frame);
     m_relay.addOpenJobs(*frame, host);
     for (const auto &[run, placed] : m_placed) {
         if (placed.holder == host)
@@ -508,6 +522,12 @@
     }
 }
 
+void BatchHost::addAllRoom(Frame &frame) const
+{
+    for (const RoomReport &report : m_holder.room())
+        mesh::addRoom(frame, report.executor, report.room);
+}
+
 /// Asks new holders to answer for the runs at executors that have changed hands.
 void BatchHost::claimMoved()
 {
@@ -551,10 +571,9 @@
                     .with("silent", m_peers.silence(owner))
                     .with("cancelledJobs", m_relayed.giveUp(owner));
     }
-    const std::vector<std::string> expected = heartbeatHosts();
+    const std::set<std::string> expected = heartbeatHosts();
     for (const PeerHost &host : m_peers.neighbours()) {
-        const bool isExpected =
-                std::find(expected.begin(), expected.end(), host.name) != expected.end();
+        const bool isExpected = expected.count(host.name) > 0;
         const Duration limit = isExpected ? SilentAfter : FarSilentAfter;
         if (host.name == m_settings.name || m_peers.silence(host.name) < limit)
             continue;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -5,6 +5,7 @@
 #include "anvilmill/executor/pausewatch.h"
 #include "anvilmill/executor/suspensiondetector.h"
 #include "anvilmill/scheduling/batchscheduler.h"
+#include "anvilmill/scheduling/roompace.h"
 #include "anvilmill/scheduling/roomview.h"
 #include "batch/earlyclaims.h"
 #include "batch/holderservice.h"
@@ -135,7 +136,8 @@
     void collectRoom();
     void tellWaiting();
     void sendAllRoom();
-    [[nodiscard]] std::vector<std::string> heartbeatHosts() const;
+    [[nodiscard]] std::set<std::string> heartbeatHosts() const;
+    void addAllRoom(Frame &frame) const;
     void logLoad();
     void received(const Frame &frame);
     void takeReplies(const Frame &frame);
@@ -173,6 +175,7 @@
     SuspensionDetector m_suspension;
     PauseWatch m_pause;
     Neighbourhood m_neighbourhood;
+    RoomPace m_roomPace;
     std::map<std::string, ExecutorRegistration> m_executors;
     std::map<RunId, Placed> m_placed;
     std::unordered_map<JobNumber, ResultHandler> m_handlers;
--- a/src/daemon/batch/roomteller.h
+++ b/src/daemon/batch/roomteller.h
@@ -29,6 +29,10 @@
 
     /// \brief Whether jobs of \p host wait for room.
     void setWaiting(const std::string &host, bool isWaiting);
+    [[nodiscard]] bool isWaiting(const std::string &host) const
+    {
+        return m_waitingHosts.count(host) > 0;
+    }
     [[nodiscard]] const std::set<std::string> &waitingHosts() const noexcept
     {
         return m_waitingHosts;
--- a/src/lib/scheduling/roomview.cpp
+++ b/src/lib/scheduling/roomview.cpp
@@ -22,7 +22,8 @@
 RoomView::RoomView(const Clock &clock, std::string dataCentre, Duration staleAfter)
     : m_clock(clock)
     , m_dataCentre(std::move(dataCentre))
-    , m_staleAfter(staleAfter)
+    , m_ownStaleAfter(staleAfter)
+    , m_othersStaleAfter(staleAfter)
 {
 }
 
@@ -97,10 +98,10 @@
 std::optional<std::size_t> RoomView::bestFor(const RoomQuery &query) const
 {
     std::optional<std::size_t> best;
-    const MonotonicTime oldest = m_clock.now() - m_staleAfter;
+    const Oldest limits = oldest();
     for (std::size_t step = 0; step < m_entries.size(); ++step) {
         const std::size_t i = (m_scanStart + step) % m_entries.size();
-        if (!offers(m_entries[i], query, oldest))
+        if (!offers(m_entries[i], query, limits))
             continue;
         if (query.excluded
             && std::find(query.excluded->begin(), query.excluded->end(), i)
@@ -118,20 +119,27 @@
            && entry.registration.service == service;
 }
 
-bool RoomView::isRecent(const Entry &entry, MonotonicTime oldest)
+RoomView::Oldest RoomView::oldest() const
 {
-    return entry.hasReport && entry.reported >= oldest;
+    const MonotonicTime now = m_clock.now();
+    return {now - m_ownStaleAfter, now - m_othersStaleAfter};
+}
+
+bool RoomView::isRecent(const Entry &entry, const Oldest &oldest) const
+{
+    const bool isLocal = entry.registration.dataCentre == m_dataCentre;
+    return entry.hasReport && entry.reported >= (isLocal ? oldest.own : oldest.others);
 }
 
 bool RoomView::hasRecentReport() const
 {
-    const MonotonicTime oldest = m_clock.now() - m_staleAfter;
+    const Oldest limits = oldest();
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
-        return entry.isListed && isRecent(entry, oldest);
+        return entry.isListed && isRecent(entry, limits);
     });
 }
 
-bool RoomView::offers(const Entry &entry, const RoomQuery &query, MonotonicTime oldest)
+bool RoomView::offers(const Entry &entry, const RoomQuery &query, const Oldest &oldest) const
 {
     if (!isRecent(entry, oldest) || !isUsable(entry, query.service))
         return false;
@@ -194,9 +202,9 @@
 std::int64_t RoomView::freeCpu() const
 {
     std::int64_t free = 0;
-    const MonotonicTime oldest = m_clock.now() - m_staleAfter;
+    const Oldest limits = oldest();
     for (const Entry &entry : m_entries) {
-        if (entry.isListed && isRecent(entry, oldest))
+        if (entry.isListed && isRecent(entry, limits))
             free += entry.room.milliCores - entry.asked.milliCores;
     }
     return free;
@@ -204,9 +212,9 @@
 
 bool RoomView::isServed(const std::string &service) const
 {
-    const MonotonicTime oldest = m_clock.now() - m_staleAfter;
+    const Oldest limits = oldest();
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
-        return isRecent(entry, oldest) && isUsable(entry, service);
+        return isRecent(entry, limits) && isUsable(entry, service);
     });
 }
 
@@ -220,7 +228,7 @@
 std::string RoomView::holderOf(std::size_t executor) const
 {
     const Entry &entry = m_entries[executor];
-    return isRecent(entry, m_clock.now() - m_staleAfter) ? entry.holder : std::string();
+    return isRecent(entry, oldest()) ? entry.holder : std::string();
 }
 
 const std::string &RoomView::idOf(std::size_t executor) const
