--- a/tests/unit/scheduling/test_roompace.cpp
+++ b/tests/unit/scheduling/test_roompace.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr Duration Heartbeat = milliseconds(250);
-constexpr std::size_t HeartbeatsInAnHour = 60 * 240;
+constexpr std::size_t SecondsInAnHour = 3600;
+constexpr std::size_t HeartbeatsInAnHour = 4 * SecondsInAnHour;
 
 /// How many holders' rooms a dispatcher hears in an hour.
 std::size_t heardInAnHour(const RoomPace &pace, std::size_t hosts, bool isNear, bool isWaiting)
@@ -43,18 +44,18 @@
     {
         for (const std::size_t far : {42U, 92U, 310U, 2000U}) {
             const RoomPace pace = roomPaceOf(far, false, Heartbeat);
-            CPPUNIT_ASSERT(heardInAnHour(pace, far, false, false) <= 60 * 60 * 48);
-            CPPUNIT_ASSERT(heardInAnHour(pace, far, false, true) <= 60 * 60 * 4 * 48);
+            CPPUNIT_ASSERT(heardInAnHour(pace, far, false, false) <= SecondsInAnHour * 48);
+            CPPUNIT_ASSERT(heardInAnHour(pace, far, false, true) <= HeartbeatsInAnHour * 48);
         }
     }
 
     void hostsWithWaitingJobsHearSooner()
     {
         const RoomPace pace = roomPaceOf(42, false, Heartbeat);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{60 * 60}, heardInAnHour(pace, 1, false, false));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{60 * 240}, heardInAnHour(pace, 1, false, true));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{60 * 60}, heardInAnHour(pace, 1, true, false));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{60 * 240}, heardInAnHour(pace, 1, true, true));
+        CPPUNIT_ASSERT_EQUAL(SecondsInAnHour, heardInAnHour(pace, 1, false, false));
+        CPPUNIT_ASSERT_EQUAL(HeartbeatsInAnHour, heardInAnHour(pace, 1, false, true));
+        CPPUNIT_ASSERT_EQUAL(SecondsInAnHour, heardInAnHour(pace, 1, true, false));
+        CPPUNIT_ASSERT_EQUAL(HeartbeatsInAnHour, heardInAnHour(pace, 1, true, true));
     }
 
     void smallFleetTellsInEachHeartbeat()
@@ -62,8 +63,7 @@
         const RoomPace pace = roomPaceOf(6, true, Heartbeat);
         for (const bool isNear : {true, false}) {
             for (const bool isWaiting : {true, false})
-                CPPUNIT_ASSERT_EQUAL(std::size_t{60 * 240},
-                                     heardInAnHour(pace, 1, isNear, isWaiting));
+                CPPUNIT_ASSERT_EQUAL(HeartbeatsInAnHour, heardInAnHour(pace, 1, isNear, isWaiting));
         }
         CPPUNIT_ASSERT(pace.nearStaleAfter == Duration(milliseconds(900)));
     }
