Holder: what a holder tells is gathered from its own executors alone

Change: the entries that the assignment names the host for are kept apart.

Ruled out: the frames themselves (encoded once for all hosts).

Tests: BatchHostsTest (12) and JobRelayTest (6) as before; nothing that they see changes.

--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -59,7 +59,7 @@
     if (!entry || entry->executor.registration().address != registration.address)
         entry = std::make_shared<Entry>(m_clock, m_settings, registration);
     entry->executor.update(registration);
-    assignOne(*entry);
+    assignOne(entry);
     noteRoom(*entry);
     hold(entry);
 }
@@ -72,6 +72,7 @@
     const auto entry = found->second;
     entry->isGone = true;
     m_entries.erase(found);
+    m_assigned.erase(executor);
     m_calls.forget(executor);
 }
 
@@ -80,17 +81,22 @@
     m_assignment = assignment;
     m_self = self;
     for (const auto &[id, entry] : m_entries) {
-        assignOne(*entry);
+        assignOne(entry);
         hold(entry);
     }
 }
 
-void HolderService::assignOne(Entry &entry)
+void HolderService::assignOne(const std::shared_ptr<Entry> &assigned)
 {
+    Entry &entry = *assigned;
     const ExecutorRegistration &registration = entry.executor.registration();
     // Hundreds of hosts that start at once change the membership dozens of times, for thousands of
     // executors each.
     const bool isOurs = m_assignment.holds(m_self, registration.id, registration.dataCentre);
+    if (isOurs)
+        m_assigned[registration.id] = assigned;
+    else
+        m_assigned.erase(registration.id);
     if (isOurs == entry.executor.isHeld())
         return;
     const std::size_t runs = entry.executor.runs();
@@ -348,7 +354,7 @@
 std::vector<RoomReport> HolderService::room() const
 {
     std::vector<RoomReport> reports;
-    for (const auto &[id, entry] : m_entries) {
+    for (const auto &[id, entry] : m_assigned) {
         if (entry->executor.isHeld())
             reports.push_back({id, entry->executor.room(), m_self});
     }
@@ -397,14 +403,14 @@
 std::size_t HolderService::held() const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_entries.begin(), m_entries.end(),
+            std::count_if(m_assigned.begin(), m_assigned.end(),
                           [](const auto &entry) { return entry.second->executor.isHeld(); }));
 }
 
 std::size_t HolderService::runs() const
 {
     std::size_t runs = 0;
-    for (const auto &[id, entry] : m_entries)
+    for (const auto &[id, entry] : m_assigned)
         runs += entry->executor.runs();
     return runs;
 }
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -75,7 +75,7 @@
 private:
     struct Entry;
 
-    void assignOne(Entry &entry);
+    void assignOne(const std::shared_ptr<Entry> &entry);
     void hold(const std::shared_ptr<Entry> &entry);
     void holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
                       const HoldReply &reply);
@@ -100,6 +100,8 @@
     OrderLosses m_losses;
     HolderEvents m_events;
     std::map<std::string, std::shared_ptr<Entry>> m_entries;
+    /// Those of the entries that the assignment names this host for; it may not hold them all.
+    std::map<std::string, std::shared_ptr<Entry>> m_assigned;
     HolderAssignment m_assignment;
     std::string m_self;
     std::set<std::string> m_changed;
