--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -75,7 +75,7 @@
 private:
     struct Entry;
 
-    void assignOne(const std::shared_ptr<Entry> &entry);
+    void assignOne(const std::shared_ptr<Entry> &assigned);
     void hold(const std::shared_ptr<Entry> &entry);
     void holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
                       const HoldReply &reply);
