Command: explain, what became of a job, from the logs of its hosts

A job's lines are spread over the host that took it in, its dispatcher and the holders of its executors; the operations page had the reader put them together by grep. `anvilmill explain JOB [LOG...]` prints one timeline, with what happened to its executors and hosts from five seconds before; `--failures` counts what was not completed by cause, route, data centre and second. Files, folders, gzip and standard input; lines that can't be read are counted and the first is named.

Not measured: 300 MB of logs; the data centre is that of the host that took the job in.

--- a/src/tools/subcommand.cpp
+++ b/src/tools/subcommand.cpp
@@ -2,6 +2,7 @@
 
 #include "demo.h"
 #include "experiment.h"
+#include "explain/explaincommand.h"
 #include "historycommand.h"
 #include "loadcommand.h"
 #include "machinecommand.h"
@@ -28,6 +29,7 @@
             {"sheet", "check and compare operators' sheets", runSheet},
             {"drain", "plan the stop of one host, at once", runDrain},
             {"report", "report the service-level burn over all entry hosts", runReport},
+            {"explain", "tell from logs what became of a job, or of all that failed", runExplain},
             {"load", "send a seeded schedule of jobs and measure the answers", runLoadCommand},
             {"check-history", "check recorded events against the promises", runCheckHistory},
             {"experiment", "compare ways to dispatch in virtual time", runExperiment},
