Tests: one wait for a condition on a loop

Change: tests/fakes/loopwait.h, used by EntryFeedTest, HostRegistryTest and PrefixFollowerTest; limits as they were.

No change of the program.

--- a/tests/system/batch/test_entryfeed.cpp
+++ b/tests/system/batch/test_entryfeed.cpp
@@ -1,6 +1,7 @@
 #include "batch/entryfeed.h"
 #include "batch/mesh.h"
 #include "fakes/fakeasyncstore.h"
+#include "fakes/loopwait.h"
 #include "fakes/unusedport.h"
 #include "loop/prefixfollower.h"
 #include "loop/timerqueue.h"
@@ -339,10 +340,7 @@
     template <typename Condition>
     void waitFor(Condition isMet)
     {
-        const MonotonicTime limit = m_clock.now() + seconds(10);
-        while (!isMet() && m_clock.now() < limit)
-            m_loop->run_for(milliseconds(5));
-        CPPUNIT_ASSERT(isMet());
+        CPPUNIT_ASSERT(tests::runUntil(*m_loop, isMet, seconds(10)));
     }
 
     void runFor(Duration time) { m_loop->run_for(time); }
--- a/tests/system/batch/test_hostregistry.cpp
+++ b/tests/system/batch/test_hostregistry.cpp
@@ -1,5 +1,6 @@
 #include "batch/hostregistry.h"
 #include "fakes/fakeasyncstore.h"
+#include "fakes/loopwait.h"
 #include "loop/timerqueue.h"
 
 #include "anvilmill/randomsource.h"
@@ -111,10 +112,7 @@
     template <typename Condition>
     void waitFor(Condition isMet)
     {
-        const MonotonicTime limit = m_clock.now() + seconds(10);
-        while (!isMet() && m_clock.now() < limit)
-            m_loop->run_for(milliseconds(5));
-        CPPUNIT_ASSERT(isMet());
+        CPPUNIT_ASSERT(tests::runUntil(*m_loop, isMet, seconds(10)));
     }
 
     SystemClock m_clock;
--- a/tests/system/loop/test_prefixfollower.cpp
+++ b/tests/system/loop/test_prefixfollower.cpp
@@ -1,4 +1,5 @@
 #include "fakes/fakeasyncstore.h"
+#include "fakes/loopwait.h"
 #include "loop/prefixfollower.h"
 #include "loop/timerqueue.h"
 
@@ -91,10 +92,7 @@
     template <typename Condition>
     void waitFor(Condition isMet)
     {
-        const MonotonicTime limit = m_clock.now() + seconds(30);
-        while (!isMet() && m_clock.now() < limit)
-            m_loop->run_for(milliseconds(5));
-        CPPUNIT_ASSERT(isMet());
+        CPPUNIT_ASSERT(tests::runUntil(*m_loop, isMet, seconds(30)));
     }
 
     SystemClock m_clock;
