Suspend the unstarted jobs of a disconnected host

Ruled out: a longer quiet period after a stall; it would delay all hosts' jobs and still guess. Change: the mesh reports the end of an incoming connection; RelayedJobs takes the host's unstarted jobs out of the scheduler until the host lists them as open, and answers 'not run' if it stays silent.

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -54,7 +54,8 @@
                 [this] { capacityChanged(); }})
     , m_mesh(loop, timers, settings.name, settings.meshAddress,
              {[this](const Frame &frame) { received(frame); },
-              [this](const std::string &host) { hostConnected(host); }})
+              [this](const std::string &host) { hostConnected(host); },
+              [this](const std::string &host) { m_relayed.disconnected(host); }})
     , m_capacityReporter(m_mesh, timers, settings.name)
     , m_peers(clock)
     , m_relay(m_mesh, timers, clock, random, m_peers)
@@ -62,7 +63,8 @@
                 {[this](BatchJob job, ResultHandler handler) {
                      return schedule(++m_lastJob, std::move(job), std::move(handler));
                  },
-                 [this](JobNumber job) { cancel(job); }})
+                 [this](JobNumber job) { cancel(job); },
+                 [this](JobNumber job) { return m_scheduler.hasStarted(job); }})
     , m_runs(clock)
     , m_earlyClaims(clock)
     , m_suspension(SuspensionTolerance)
--- a/src/daemon/batch/mesh.cpp
+++ b/src/daemon/batch/mesh.cpp
@@ -280,7 +280,10 @@
         m_state->timers.cancel(m_silenceTimer);
         error_code ignored;
         m_socket.next_layer().close(ignored);
-        m_state->inbound.erase(shared_from_this());
+        const auto self = shared_from_this();
+        m_state->inbound.erase(self);
+        if (!m_host.empty() && !m_state->isClosed && m_state->events.disconnected)
+            m_state->events.disconnected(m_host);
     }
 
 private:
--- a/src/daemon/batch/mesh.h
+++ b/src/daemon/batch/mesh.h
@@ -23,6 +23,9 @@
     std::function<void(const wire::meshframe::MeshFrame &)> received;
     /// A connection to or from the host was established: messages may have been lost before.
     std::function<void(const std::string &host)> connected;
+    /// The connection on which the host's frames arrived has ended. Frames may be read from a
+    /// connection long after its host has closed it.
+    std::function<void(const std::string &host)> disconnected = {};
 };
 
 /// \brief Connections between entry hosts: CBOR frames over WebSockets, one connection per
--- a/src/daemon/batch/relayedjobs.cpp
+++ b/src/daemon/batch/relayedjobs.cpp
@@ -51,7 +51,7 @@
 
 void RelayedJobs::accept(const Key &key, BatchJob job)
 {
-    if (!m_jobs.emplace(key, std::nullopt).second)
+    if (!m_jobs.emplace(key, OpenJob{std::nullopt, job}).second)
         return;
     const auto number = m_scheduler.submit(std::move(job), [this, key](const BatchResult &result) {
         // The host of a cancelled job expects no answer.
@@ -60,14 +60,43 @@
     });
     const auto found = m_jobs.find(key);
     if (found != m_jobs.end())
-        found->second = number;
+        found->second.number = number;
 }
 
 void RelayedJobs::cancel(const Key &key)
 {
+    m_suspended.erase(key);
     auto node = m_jobs.extract(key);
-    if (!node.empty() && node.mapped())
-        m_scheduler.cancel(*node.mapped());
+    if (!node.empty() && node.mapped().number)
+        m_scheduler.cancel(*node.mapped().number);
+}
+
+void RelayedJobs::disconnected(const std::string &host)
+{
+    std::vector<Key> unstarted;
+    for (const auto &[key, open] : m_jobs) {
+        if (key.first == host && open.number && !m_scheduler.hasStarted(*open.number))
+            unstarted.push_back(key);
+    }
+    for (const Key &key : unstarted) {
+        auto node = m_jobs.extract(key);
+        m_suspended.emplace(key, std::move(node.mapped().job));
+        m_scheduler.cancel(*node.mapped().number);
+    }
+    if (!unstarted.empty())
+        LogEvent("job.suspended", LogEvent::Level::Warning)
+                .with("host", host)
+                .with("jobs", unstarted.size());
+}
+
+void RelayedJobs::resumeListed(const std::string &host, const std::set<Key> &open)
+{
+    auto suspended = m_suspended.lower_bound({host, 0});
+    while (suspended != m_suspended.end() && suspended->first.first == host) {
+        auto node = m_suspended.extract(suspended++);
+        if (open.count(node.key()) > 0)
+            accept(node.key(), std::move(node.mapped()));
+    }
 }
 
 // A job that is open on one side only was lost in transit.
@@ -81,8 +110,9 @@
         for (const auto &message : *frame.jobs)
             open.erase({frame.host, static_cast<JobNumber>(message.number)});
     }
+    resumeListed(frame.host, open);
     std::vector<Key> unwanted;
-    for (const auto &[key, number] : m_jobs) {
+    for (const auto &[key, job] : m_jobs) {
         if (key.first == frame.host && open.count(key) == 0)
             unwanted.push_back(key);
     }
@@ -102,22 +132,33 @@
 std::size_t RelayedJobs::cancelJobsOf(const std::string &host)
 {
     std::vector<Key> keys;
-    for (const auto &[key, number] : m_jobs) {
+    std::vector<Key> suspended;
+    for (const auto &[key, job] : m_jobs) {
         if (key.first == host)
             keys.push_back(key);
     }
+    for (const auto &[key, job] : m_suspended) {
+        if (key.first == host)
+            suspended.push_back(key);
+    }
+    for (const Key &key : suspended) {
+        cancel(key);
+        answer(key, {BatchEnd::Refused, "hostSilent", {}, 0, {}, "", {}});
+    }
     for (const Key &key : keys) {
         cancel(key);
         // If the host reconnects, this answer reports that the job may have run in part.
         answer(key, {BatchEnd::Broken, "hostSilent", {}, 0, {}, "", {}});
     }
-    return keys.size();
+    return keys.size() + suspended.size();
 }
 
 std::set<std::string> RelayedJobs::hosts() const
 {
     std::set<std::string> hosts;
-    for (const auto &[key, number] : m_jobs)
+    for (const auto &[key, job] : m_jobs)
+        hosts.insert(key.first);
+    for (const auto &[key, job] : m_suspended)
         hosts.insert(key.first);
     return hosts;
 }
--- a/tests/system/batch/test_relayedjobs.cpp
+++ b/tests/system/batch/test_relayedjobs.cpp
@@ -36,6 +36,10 @@
     CPPUNIT_TEST(jobInTheSameFrameAsTheListIsAccepted);
     CPPUNIT_TEST(jobThatIsNotListedIsCancelled);
     CPPUNIT_TEST(jobOfASilentHostIsBrokenNotCancelled);
+    CPPUNIT_TEST(unstartedJobOfADisconnectedHostIsSuspended);
+    CPPUNIT_TEST(suspendedJobRunsOnceItsHostListsIt);
+    CPPUNIT_TEST(suspendedJobOfASilentHostIsReportedAsNotRun);
+    CPPUNIT_TEST(startedJobOfADisconnectedHostContinues);
     CPPUNIT_TEST(malformedJobIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,11 +67,13 @@
                             m_cancelled.insert(number);
                             m_handlers.at(number)(
                                     {BatchEnd::Cancelled, "cancelled", {}, 0, {}, "", {}});
-                        }});
+                        },
+                        [this](JobNumber number) { return m_started.count(number) > 0; }});
         m_answers.clear();
         m_submitted.clear();
         m_handlers.clear();
         m_cancelled.clear();
+        m_started.clear();
         m_lastJob = 0;
     }
 
@@ -152,6 +158,51 @@
         CPPUNIT_ASSERT(m_jobs->hosts().empty());
     }
 
+    // Soak seed 11: a paused dispatcher read jobs from a connection that their host had closed, and
+    // started them while the callers retried elsewhere.
+    void unstartedJobOfADisconnectedHostIsSuspended()
+    {
+        m_jobs->received(frameWithJob(7));
+        m_jobs->disconnected("weak");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cancelled.count(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_jobs->hosts().size());
+        m_jobs->received(frameWithList({}));
+        m_jobs->received(frameWithList({7}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_submitted.size());
+    }
+
+    void suspendedJobRunsOnceItsHostListsIt()
+    {
+        connect();
+        m_jobs->received(frameWithJob(7));
+        m_jobs->disconnected("weak");
+        m_jobs->received(frameWithList({7}));
+        m_jobs->received(frameWithList({7}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_submitted.size());
+        m_handlers.at(2)({BatchEnd::Completed, "", {}, 3, {}, "e1", {}});
+        waitFor([this] { return m_answers.count(7) > 0; });
+        CPPUNIT_ASSERT(m_answers.at(7).end == BatchEnd::Completed);
+    }
+
+    void suspendedJobOfASilentHostIsReportedAsNotRun()
+    {
+        connect();
+        m_jobs->received(frameWithJob(7));
+        m_jobs->disconnected("weak");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_jobs->cancelJobsOf("weak"));
+        waitFor([this] { return m_answers.count(7) > 0; });
+        CPPUNIT_ASSERT(m_answers.at(7).end == BatchEnd::Refused);
+        CPPUNIT_ASSERT(m_jobs->hosts().empty());
+    }
+
+    void startedJobOfADisconnectedHostContinues()
+    {
+        m_jobs->received(frameWithJob(7));
+        m_started.insert(1);
+        m_jobs->disconnected("weak");
+        CPPUNIT_ASSERT(m_cancelled.empty());
+    }
+
     void malformedJobIsRefused()
     {
         connect();
@@ -241,6 +292,7 @@
     std::map<JobNumber, std::function<void(const BatchResult &)>> m_handlers;
     std::map<JobNumber, BatchResult> m_answers;
     std::set<JobNumber> m_cancelled;
+    std::set<JobNumber> m_started;
     JobNumber m_lastJob = 0;
     boost::asio::ip::tcp::endpoint m_peerAddress;
 };
