Capacity reports to dispatchers that are no longer listed but connected

Ruled out: not being ready meanwhile; the data centre has one or two hosts, and the callers reach no others. Change: PeerTopology::setConnected() counts connected hosts that are no longer listed as near peers.

--- a/include/anvilmill/executor/peertopology.h
+++ b/include/anvilmill/executor/peertopology.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace anvilmill {
@@ -25,6 +26,13 @@
 
     void adopt(const HostMembership &membership);
 
+    /// \brief Sets the connected hosts, of which some may no longer be listed.
+    ///
+    /// Load pattern: a host that is cut off from the store is soon listed no longer, and others take
+    /// over its executors. Its clients still reach it, so it goes on placing tasks, all of them on
+    /// executors of other hosts. It is a near peer, and a near dispatcher if it was a dispatcher.
+    void setConnected(const std::vector<PeerHost> &hosts);
+
     [[nodiscard]] const HolderAssignment &assignment() const noexcept { return m_assignment; }
 
     /// \brief True if this host schedules jobs and holds executors.
@@ -59,11 +67,14 @@
 
 private:
     [[nodiscard]] bool isNeighbour(const PeerHost &host) const;
+    void addNearPeer(const PeerHost &host);
 
     std::string m_self;
     std::string m_dataCentre;
     /// All listed hosts, and whether each is leaving.
     std::unordered_map<std::string, bool> m_listed;
+    /// Hosts that were dispatchers when they were listed last.
+    std::unordered_set<std::string> m_lastDispatchers;
     HolderAssignment m_assignment;
     FeedPlan m_feedPlan;
     std::vector<PeerHost> m_neighbours;
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -115,7 +115,7 @@
                 .with("dispatches", isDispatcher())
                 .with("membership", membership.revision);
     m_peers.setListed(membership.hosts, m_topology.neighbours());
-    m_mesh.setHosts(m_peers.hostsToConnect());
+    connectPeers();
     m_holder.assign(m_topology.assignment(), m_settings.name);
     applyTopology();
     claimMovedRuns();
@@ -129,7 +129,6 @@
 {
     const HolderAssignment &assignment = m_topology.assignment();
     const bool isSmall = m_topology.isSmall();
-    m_capacityReporter.setNearHosts(m_topology.nearDispatchers());
     m_relay.setDispatchers(assignment.dispatchersOf(m_settings.dataCentre));
     m_view.setOwnDataCentreFirst(!isSmall);
     m_view.setPreferredHost(m_settings.name);
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -129,6 +129,7 @@
     void jobEnded(JobNumber job, const BatchResult &result) override;
 
     std::optional<JobNumber> schedule(JobNumber number, BatchJob job, ResultHandler handler);
+    void connectPeers();
     void applyTopology();
     [[nodiscard]] std::string reporterOf(std::size_t executor) const;
     [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -69,7 +69,7 @@
     const std::set<std::string> sharing = heartbeatHosts();
     std::vector<std::string> hosts(sharing.begin(), sharing.end());
     if (isForAll) {
-        m_mesh.setHosts(m_peers.hostsToConnect());
+        connectPeers();
         hosts = m_mesh.connectedHosts();
     }
     std::vector<std::string> reported;
@@ -88,6 +88,14 @@
     m_timers.after(HeartbeatInterval, [this] { sendHeartbeats(); });
 }
 
+void BatchHost::connectPeers()
+{
+    const std::vector<PeerHost> hosts = m_peers.hostsToConnect();
+    m_mesh.setHosts(hosts);
+    m_topology.setConnected(hosts);
+    m_capacityReporter.setNearHosts(m_topology.nearDispatchers());
+}
+
 void BatchHost::updateGauges()
 {
     m_metrics.setGauge("anvilmill_executors_held", static_cast<double>(m_holder.held()));
--- a/src/lib/executor/peertopology.cpp
+++ b/src/lib/executor/peertopology.cpp
@@ -24,23 +24,45 @@
     for (const PeerHost &host : membership.hosts)
         m_listed[host.name] = host.isLeaving;
     m_assignment = HolderAssignment(membership);
+    for (const PeerHost &host : membership.hosts) {
+        if (m_assignment.isDispatcher(host.name))
+            m_lastDispatchers.insert(host.name);
+        else if (!host.isLeaving)
+            m_lastDispatchers.erase(host.name);
+    }
     m_isDispatcher = m_assignment.isDispatcher(m_self);
     m_isSmall = m_assignment.allDispatchers().size() <= MaxNearDispatchers + 1;
     m_feedPlan = feedPlanOf(m_assignment, m_self, m_dataCentre, m_isSmall);
     m_neighbours.clear();
-    m_nearPeers.clear();
-    m_nearDispatchers.clear();
     for (const PeerHost &host : membership.hosts) {
         if (host.name == m_self || !isNeighbour(host))
             continue;
         m_neighbours.push_back(host);
-        const bool isNearPeer = m_isSmall || host.dataCentre == m_dataCentre;
-        if (!isNearPeer)
-            continue;
-        m_nearPeers.push_back(host.name);
-        if (m_isDispatcher && needsCapacityReports(host.name))
-            m_nearDispatchers.push_back(host.name);
     }
+    setConnected({});
+}
+
+void PeerTopology::setConnected(const std::vector<PeerHost> &hosts)
+{
+    m_nearPeers.clear();
+    m_nearDispatchers.clear();
+    for (const PeerHost &host : m_neighbours)
+        addNearPeer(host);
+    for (const PeerHost &host : hosts) {
+        if (host.name != m_self && m_listed.count(host.name) == 0)
+            addNearPeer(host);
+    }
+}
+
+void PeerTopology::addNearPeer(const PeerHost &host)
+{
+    if (!m_isSmall && host.dataCentre != m_dataCentre)
+        return;
+    m_nearPeers.push_back(host.name);
+    const bool placesTasks = m_listed.count(host.name) > 0 ? needsCapacityReports(host.name)
+                                                           : m_lastDispatchers.count(host.name) > 0;
+    if (m_isDispatcher && placesTasks)
+        m_nearDispatchers.push_back(host.name);
 }
 
 // A leaving host may still have jobs and runs with any dispatcher.
--- a/tests/unit/executor/test_dispatchers.cpp
+++ b/tests/unit/executor/test_dispatchers.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(weakHostHasFewConnections);
     CPPUNIT_TEST(connectionsAreMutual);
     CPPUNIT_TEST(capacityIsReportedToHostsThatPlaceTasks);
+    CPPUNIT_TEST(unlistedDispatcherReceivesCapacityChanges);
     CPPUNIT_TEST(holdsAgreesWithHolderOf);
     CPPUNIT_TEST(oneHostReadsTheEntriesOfALargeFleet);
     CPPUNIT_TEST(eachDataCentreOfASmallFleetHasItsOwnReader);
@@ -171,6 +172,35 @@
         CPPUNIT_ASSERT(strong.needsCapacityReports("unlisted"));
     }
 
+    // Load: hosts that are cut off from the store, but not from their clients and the other hosts.
+    // With reports once a second, 9 to 42 jobs waited on such a host beside free executors.
+    void unlistedDispatcherReceivesCapacityChanges()
+    {
+        PeerTopology strong(nameOf(1, "strong", 0), "dc1");
+        HostMembership membership = largeSite();
+        strong.adopt(membership);
+        std::vector<PeerHost> connected = membership.hosts;
+        auto &hosts = membership.hosts;
+        hosts.erase(std::remove_if(hosts.begin(), hosts.end(),
+                                   [](const PeerHost &host) {
+                                       return host.name == nameOf(1, "medium", 0)
+                                              || host.name == nameOf(2, "medium", 0)
+                                              || host.name == nameOf(1, "weak", 0);
+                                   }),
+                    hosts.end());
+        strong.adopt(membership);
+        const auto receives = [&strong](const std::string &host) {
+            const auto &near = strong.nearDispatchers();
+            return std::find(near.begin(), near.end(), host) != near.end();
+        };
+        CPPUNIT_ASSERT(!receives(nameOf(1, "medium", 0)));
+        strong.setConnected(connected);
+        CPPUNIT_ASSERT(receives(nameOf(1, "medium", 0)));
+        CPPUNIT_ASSERT(strong.isNearPeer(nameOf(1, "medium", 0)));
+        CPPUNIT_ASSERT(!receives(nameOf(1, "weak", 0)));
+        CPPUNIT_ASSERT(!receives(nameOf(2, "medium", 0)));
+    }
+
     void holdsAgreesWithHolderOf()
     {
         const HolderAssignment assignment(largeSite());
