Report free capacity sooner, and all of it with a refused start

Change: the frame that refuses a start carries the free capacity of all executors of the holder; changes are reported each 5 ms among few hosts (changeReportInterval), 25 ms among 25 as before.

--- a/include/anvilmill/scheduling/capacityreportintervals.h
+++ b/include/anvilmill/scheduling/capacityreportintervals.h
@@ -34,4 +34,11 @@
 [[nodiscard]] CapacityReportIntervals
 capacityReportIntervals(std::size_t farDispatchers, bool isSmallFleet, Duration heartbeat) noexcept;
 
+/// \brief Returns the interval at which a holder reports changes of free capacity to \p nearHosts.
+///
+/// Load pattern: most executors are in use, and what becomes free is used within milliseconds. A host
+/// that places a task by an older report has its start refused and loses a round trip. Each report
+/// costs one frame per host, so the interval grows with their number.
+[[nodiscard]] Duration changeReportInterval(std::size_t nearHosts) noexcept;
+
 } // namespace anvilmill
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -83,6 +83,7 @@
 
 void BatchHost::handleStarts(const Frame &frame)
 {
+    bool isAnyRefused = false;
     for (const MeshStart &start : frame.starts.value_or(std::vector<MeshStart>())) {
         const RunId run = runOf(start);
         const auto index = static_cast<std::size_t>(start.spec);
@@ -102,7 +103,12 @@
         // The capacity is sent with the reply, so that the receiver never counts the run twice.
         collectCapacityChanges();
         m_capacityReporter.addPending(*answer, start.executor);
+        isAnyRefused = isAnyRefused || !isAccepted;
     }
+    // The sender assumed outdated capacity, probably not of this executor alone.
+    Frame *const answer = isAnyRefused ? m_mesh.frameFor(frame.host) : nullptr;
+    if (answer)
+        addAllCapacity(*answer);
 }
 
 void BatchHost::handleClaim(const RunClaim &claim)
--- a/src/daemon/batch/capacityreporter.cpp
+++ b/src/daemon/batch/capacityreporter.cpp
@@ -2,6 +2,8 @@
 
 #include "batch/meshmessages.h"
 
+#include "anvilmill/scheduling/capacityreportintervals.h"
+
 #include <utility>
 
 namespace anvilmill::daemon {
@@ -11,10 +13,6 @@
 /// Changes of capacity within this time are sent together to hosts with waiting jobs. A round trip
 /// between data centres takes 2 ms.
 constexpr Duration UrgentInterval = std::chrono::milliseconds(4);
-/// The same for the other hosts, which mostly start runs on the executors that they hold. With this
-/// interval 1.1% of the starts in SharedExecutorsTest are refused, since other runs use the
-/// capacity by then. Each report costs a frame per near host.
-constexpr Duration NearInterval = std::chrono::milliseconds(25);
 
 } // namespace
 
@@ -43,7 +41,7 @@
 void CapacityReporter::schedule()
 {
     if (!m_pending.empty() && !std::exchange(m_isNearReportDue, true))
-        m_timers.after(NearInterval, [this] { reportToNear(); });
+        m_timers.after(changeReportInterval(m_nearHosts.size()), [this] { reportToNear(); });
     if (!m_urgent.empty() && !std::exchange(m_isUrgentReportDue, true))
         m_timers.after(UrgentInterval, [this] { reportToWaiting(); });
 }
--- a/src/lib/scheduling/capacityreportintervals.cpp
+++ b/src/lib/scheduling/capacityreportintervals.cpp
@@ -18,6 +18,12 @@
 constexpr double StaleReportIntervals = 2.5;
 constexpr double StaleHeartbeats = 3.6;
 
+/// A frame per millisecond takes a twentieth of a core.
+constexpr Duration ChangeReportIntervalPerHost = std::chrono::milliseconds(1);
+/// Several changes of one burst of starts share a frame.
+constexpr Duration MinChangeReportInterval = std::chrono::milliseconds(5);
+constexpr Duration MaxChangeReportInterval = std::chrono::milliseconds(25);
+
 std::size_t heartbeatsFor(std::size_t hosts, std::size_t hostsPerHeartbeat)
 {
     return (hosts + hostsPerHeartbeat - 1) / hostsPerHeartbeat;
@@ -38,6 +44,13 @@
     return heartbeat % (isWaiting ? farWaiting : far) == 0;
 }
 
+Duration changeReportInterval(std::size_t nearHosts) noexcept
+{
+    const auto hosts = static_cast<Duration::rep>(nearHosts);
+    return std::clamp<Duration>(ChangeReportIntervalPerHost * hosts, MinChangeReportInterval,
+                                MaxChangeReportInterval);
+}
+
 CapacityReportIntervals capacityReportIntervals(std::size_t farDispatchers, bool isSmallFleet,
                                                 Duration heartbeat) noexcept
 {
