A task waits for an executor that is fast enough for its target

Change: PlacementQuery::minSpeed; a task whose job can still be in time takes only an executor that ends it in time, while any listed one is fast enough; a late one takes any.

--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -30,7 +30,8 @@
 /// scheduled first, by the priority of their route and then by arrival. A job that can no longer be
 /// in time gets only the capacity that these leave. A job that can't end while its answer is still
 /// useful is refused at once. A job that was started precedes all others of its priority, since its
-/// completed work would be lost otherwise. A failed task is retried on another executor. Whether an
+/// completed work would be lost otherwise. A task that would be late on a slow executor waits for a
+/// faster one as long as it can be in time there; the slow ones run shorter tasks meanwhile. A failed task is retried on another executor. Whether an
 /// executor gets starts at all is decided by its lease holder, which sees all of its runs.
 ///
 /// Thread safety: one thread at a time. Methods call the output before they return.
@@ -133,7 +134,8 @@
     void reposition(JobNumber number, Job &job, bool isLate, int runs);
     [[nodiscard]] Duration retryAfter(Duration wait) const;
     [[nodiscard]] Position positionOf(JobNumber number, const Job &job) const;
-    [[nodiscard]] bool placeTasks(JobNumber number, Job &job);
+    [[nodiscard]] bool placeTasks(JobNumber number, Job &job, double fastestSpeed);
+    [[nodiscard]] double minSpeedFor(const Job &job, std::uint32_t task, double fastestSpeed) const;
     void startTask(JobNumber number, Job &job, std::uint32_t index, std::size_t executor);
     void enqueue(JobNumber number, Job &job, std::uint32_t index);
     void setExpiry(JobNumber number, Job &job, MonotonicTime expiry);
--- a/include/anvilmill/scheduling/capacityview.h
+++ b/include/anvilmill/scheduling/capacityview.h
@@ -25,6 +25,8 @@
 {
     std::string service;
     Resources demand;
+    /// Slower executors are left out; relative to an average executor.
+    double minSpeed = 0.0;
     /// Executors to leave out, by index.
     const std::vector<std::size_t> *excluded = nullptr;
 };
@@ -93,6 +95,9 @@
     /// setOwnDataCentreFirst() and setPreferredHost().
     [[nodiscard]] std::optional<std::size_t> bestFor(const PlacementQuery &query) const;
 
+    /// \brief The speed of the fastest executor of \p service with a recent report; 0 if there is none.
+    [[nodiscard]] double fastestSpeed(const std::string &service) const;
+
     /// \brief Cores times speed of all executors of \p service that are listed.
     ///
     /// Includes executors without a recent report: most of them have only changed their holder.
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -31,6 +31,27 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+/// Demands that no executor can take now: a task that needs no less and no slower an executor is
+/// skipped without a scan.
+class UnfitDemands
+{
+public:
+    void add(std::int64_t milliCores, double minSpeed)
+    {
+        m_demands.emplace_back(milliCores, minSpeed);
+    }
+
+    [[nodiscard]] bool includes(std::int64_t milliCores, double minSpeed) const
+    {
+        return std::any_of(m_demands.begin(), m_demands.end(), [&](const auto &demand) {
+            return milliCores >= demand.first && minSpeed >= demand.second;
+        });
+    }
+
+private:
+    std::vector<std::pair<std::int64_t, double>> m_demands;
+};
+
 double coreSeconds(const Resources &resources, Duration work)
 {
     return static_cast<double>(resources.milliCores) / MillisPerCore * asSeconds(work);
@@ -157,33 +178,53 @@
 
 void BatchScheduler::place()
 {
-    // Smallest processor demand per service that did not fit; larger ones are skipped.
-    std::map<std::string, std::int64_t> smallestUnfit;
+    std::map<std::string, UnfitDemands> unfit;
+    std::map<std::string, double> fastestSpeeds;
     std::vector<JobNumber> waiting;
     waiting.reserve(m_queue.size());
     for (const Position &position : m_queue)
         waiting.push_back(position.number);
     for (const JobNumber number : waiting) {
         Job &job = m_jobs.at(number);
-        const std::int64_t cpu = job.job.tasks[job.unstarted.back()].resources.milliCores;
-        const auto unfit = smallestUnfit.find(job.job.route->service);
-        if (unfit != smallestUnfit.end() && cpu >= unfit->second)
+        const std::string &service = job.job.route->service;
+        auto fastest = fastestSpeeds.find(service);
+        if (fastest == fastestSpeeds.end())
+            fastest = fastestSpeeds.emplace(service, m_view.fastestSpeed(service)).first;
+        const std::uint32_t next = job.unstarted.back();
+        if (unfit[service].includes(job.job.tasks[next].resources.milliCores,
+                                    minSpeedFor(job, next, fastest->second)))
             continue;
-        if (!placeTasks(number, job))
-            smallestUnfit[job.job.route->service] = cpu;
+        if (placeTasks(number, job, fastest->second))
+            continue;
+        const std::uint32_t failed = job.unstarted.back();
+        unfit[service].add(job.job.tasks[failed].resources.milliCores,
+                           minSpeedFor(job, failed, fastest->second));
     }
 }
 
-bool BatchScheduler::placeTasks(JobNumber number, Job &job)
+/// The speed below which the task would end after the job's target; 0 if no executor is fast
+/// enough, or if the job is late already.
+double BatchScheduler::minSpeedFor(const Job &job, std::uint32_t task, double fastestSpeed) const
+{
+    const Duration left = job.job.arrived + targetOf(job) - m_clock.now();
+    if (job.isLate || left <= Duration{})
+        return 0.0;
+    const double required =
+            asSeconds(estimatedRunTime(job.job, job.routeIndex, task)) / asSeconds(left);
+    return required <= fastestSpeed ? required : 0.0;
+}
+
+bool BatchScheduler::placeTasks(JobNumber number, Job &job, double fastestSpeed)
 {
     const std::string &service = job.job.route->service;
     while (!job.unstarted.empty()) {
         const std::uint32_t index = job.unstarted.back();
         const Task &task = job.tasks[index];
         const Resources &demand = job.job.tasks[index].resources;
-        auto executor = m_view.bestFor({service, demand, &task.tried});
+        const double minSpeed = minSpeedFor(job, index, fastestSpeed);
+        auto executor = m_view.bestFor({service, demand, minSpeed, &task.tried});
         if (!executor && !task.tried.empty())
-            executor = m_view.bestFor({service, demand, nullptr});
+            executor = m_view.bestFor({service, demand, minSpeed, nullptr});
         if (!executor)
             return false;
         job.unstarted.pop_back();
--- a/src/lib/scheduling/capacityview.cpp
+++ b/src/lib/scheduling/capacityview.cpp
@@ -143,7 +143,8 @@
 bool CapacityView::offers(const Entry &entry, const PlacementQuery &query,
                           const ReportCutoffs &cutoffs) const
 {
-    if (!isRecent(entry, cutoffs) || !isUsable(entry, query.service))
+    if (!isRecent(entry, cutoffs) || !isUsable(entry, query.service)
+        || entry.speed < query.minSpeed)
         return false;
     Resources available = entry.freeCapacity;
     available -= entry.reserved;
@@ -190,6 +191,17 @@
     return entry.freeCapacity.milliCores - entry.reserved.milliCores;
 }
 
+double CapacityView::fastestSpeed(const std::string &service) const
+{
+    double fastest = 0.0;
+    const ReportCutoffs cutoffs = reportCutoffs();
+    for (const Entry &entry : m_entries) {
+        if (isRecent(entry, cutoffs) && isUsable(entry, service))
+            fastest = std::max(fastest, entry.speed);
+    }
+    return fastest;
+}
+
 double CapacityView::capacityOf(const std::string &service) const
 {
     constexpr double MillisPerCore = 1000.0;
--- a/tests/unit/scheduling/test_batchscheduler.cpp
+++ b/tests/unit/scheduling/test_batchscheduler.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST(refusalAppliesToAllExecutorsOfTheHolder);
     CPPUNIT_TEST(refusalOfTheOwnHostAppliesToOneExecutor);
     CPPUNIT_TEST(executorsOfTheOwnHostArePreferredUnlessSlow);
+    CPPUNIT_TEST(longTaskWaitsForAnExecutorThatIsFastEnough);
+    CPPUNIT_TEST(shortTasksUseSlowExecutorsMeanwhile);
+    CPPUNIT_TEST(taskThatNoExecutorCanFinishInTimeStartsAnywhere);
     CPPUNIT_TEST(supersededRunGetsAHigherNumber);
     CPPUNIT_TEST(jobThatNoExecutorFitsIsRefusedAtOnce);
     CPPUNIT_TEST(jobBehindALongQueueIsRefusedAtOnce);
@@ -186,6 +189,41 @@
         CPPUNIT_ASSERT_EQUAL(std::string("e0"), m_view->idOf(m_output->starts[1].executor));
     }
 
+    // Load: all fast executors are in use, slow ones are free. A long task that starts on a slow one
+    // is late for certain.
+    void longTaskWaitsForAnExecutorThatIsFastEnough()
+    {
+        addFullFastAndFreeSlowExecutor();
+        submit(1, 1, seconds(1));
+        CPPUNIT_ASSERT(m_output->starts.empty());
+        m_view->report({"e0", Capacity, "holder"});
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::string("e0"), m_view->idOf(m_output->starts.back().executor));
+    }
+
+    void shortTasksUseSlowExecutorsMeanwhile()
+    {
+        addFullFastAndFreeSlowExecutor();
+        submit(1, 1, seconds(1));
+        m_policy.route = "checks";
+        m_policy.priority = 1;
+        submit(2, 1, milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_output->starts.size());
+        CPPUNIT_ASSERT_EQUAL(JobNumber{2}, m_output->starts.back().task.job);
+        CPPUNIT_ASSERT_EQUAL(std::string("e1"), m_view->idOf(m_output->starts.back().executor));
+    }
+
+    void taskThatNoExecutorCanFinishInTimeStartsAnywhere()
+    {
+        addFullFastAndFreeSlowExecutor();
+        submit(1, 1, seconds(1));
+        m_clock->advance(milliseconds(1000));
+        m_view->report({"e1", Capacity, "holder"});
+        m_scheduler->expire();
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_output->starts.size());
+    }
+
     void supersededRunGetsAHigherNumber()
     {
         addExecutors(1);
@@ -350,6 +388,18 @@
     }
 
 private:
+    void addFullFastAndFreeSlowExecutor()
+    {
+        constexpr double Fast = 1.4;
+        constexpr double Slow = 0.6;
+        m_policy.stretch = 1.6;
+        m_policy.target = milliseconds(60);
+        addExecutors(2);
+        m_view->report({"e0", {4000, 65536, 0}, "holder"});
+        m_view->setSpeed(0, Fast);
+        m_view->setSpeed(1, Slow);
+    }
+
     void addExecutor(const std::string &id, const std::string &dataCentre)
     {
         ExecutorRegistration registration;
@@ -379,9 +429,12 @@
         return job;
     }
 
-    void submit(JobNumber number, std::size_t tasks)
+    void submit(JobNumber number, std::size_t tasks, Duration estimate = milliseconds(170))
     {
-        CPPUNIT_ASSERT(!m_scheduler->submit(number, jobOf(number, tasks, Demand)));
+        BatchJob job = jobOf(number, tasks, Demand);
+        for (TaskDemand &task : job.tasks)
+            task.estimate = estimate;
+        CPPUNIT_ASSERT(!m_scheduler->submit(number, std::move(job)));
         m_scheduler->place();
     }
 
