One order over all hosts for the capacity that becomes free

Each host used what its executors freed for its own jobs, so tasks of batch-plan (priority 2) started on one host while slot-checks (0) waited on another: its jobs of eight tasks took 242 ms at the median instead of 100, flask-labels 440 ms. Ruled out: refused starts (next to none then), lost orders (4%). Change: hosts report the urgency of what waits there; freed capacity is offered to the most urgent host, and less urgent jobs anywhere leave it for 10 ms (BatchScheduler::setOthersUrgency, PlacementQuery::minFreeFor). Also: a hold's answer written in the same millisecond as one that listed an end doesn't bring the run back.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -7,6 +7,7 @@
 #include "anvilmill/executor/losstracker.h"
 #include "anvilmill/executor/run.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -224,6 +225,8 @@
     [[nodiscard]] std::optional<ExecutorTime> leaseUntil() const;
     [[nodiscard]] std::size_t unansweredStarts() const noexcept;
     void recordOutcome(const RunEnd &end);
+    void rememberEnd(const RunId &run);
+    [[nodiscard]] bool hasEnded(const RunId &run) const;
     void recordIncarnation(const HoldReport &report);
     void applyEnds(const HoldReport &report, std::vector<RunEnd> &ended);
     void applyActive(const HoldReport &report);
@@ -240,6 +243,8 @@
     /// Circuit breaker that counts starts that were never delivered, rather than failed runs.
     CircuitBreaker m_startDelivery;
     Runs m_runs;
+    /// Runs that have ended last; an answer written just before may still list them as active.
+    std::deque<RunId> m_recentEnds;
     Resources m_used;
     std::size_t m_inheritedRuns = 0;
     std::uint64_t m_acknowledgedThrough = 0;
--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -4,6 +4,7 @@
 #include "anvilmill/dispatch/nameindex.h"
 #include "anvilmill/dispatch/runtimeestimator.h"
 #include "anvilmill/scheduling/batchjob.h"
+#include "anvilmill/scheduling/waitingurgency.h"
 
 #include <map>
 #include <optional>
@@ -51,6 +52,26 @@
     /// \brief Sets the share of all executors' capacity that this host's jobs may use; initially 1.
     void setShare(double share) noexcept { m_share = share; }
 
+    /// How long capacity that has become free is left to more urgent jobs of other hosts: the time for
+    /// it to be offered and for a start to arrive.
+    static constexpr Duration YieldPeriod = std::chrono::milliseconds(10);
+
+    /// \brief Sets the urgency of the most urgent jobs that wait on other hosts.
+    ///
+    /// Load pattern: work that exceeds the capacity waits on all hosts. If each used what becomes free
+    /// for its own jobs, long jobs of low priority would be started on one host while urgent ones wait
+    /// on another. Less urgent jobs use capacity only once it has been free for YieldPeriod.
+    void setOthersUrgency(std::optional<WaitingUrgency> urgency) noexcept
+    {
+        m_othersUrgency = urgency;
+    }
+
+    /// \brief The urgency of this host's own waiting jobs; std::nullopt if none wait.
+    [[nodiscard]] std::optional<WaitingUrgency> waitingUrgency() const;
+
+    /// \brief True if the last place() left capacity to other hosts; call it again after YieldPeriod.
+    [[nodiscard]] bool hasYielded() const noexcept { return m_hasYielded; }
+
     /// \brief Starts all tasks that fit. Call after any event that may have freed capacity.
     void place();
 
@@ -135,6 +156,8 @@
     [[nodiscard]] Duration retryAfter(Duration wait) const;
     [[nodiscard]] Position positionOf(JobNumber number, const Job &job) const;
     [[nodiscard]] bool placeTasks(JobNumber number, Job &job, double fastestSpeed);
+    [[nodiscard]] static WaitingUrgency urgencyOf(const Job &job);
+    [[nodiscard]] bool isYielding(const Job &job) const;
     [[nodiscard]] double minSpeedFor(const Job &job, std::uint32_t task, double fastestSpeed) const;
     void startTask(JobNumber number, Job &job, std::uint32_t index, std::size_t executor);
     void enqueue(JobNumber number, Job &job, std::uint32_t index);
@@ -157,6 +180,8 @@
     std::set<std::pair<MonotonicTime, JobNumber>> m_expiries;
     RunningTasks m_running;
     double m_share = 1.0;
+    std::optional<WaitingUrgency> m_othersUrgency;
+    bool m_hasYielded = false;
 };
 
 } // namespace anvilmill
--- a/include/anvilmill/scheduling/capacityview.h
+++ b/include/anvilmill/scheduling/capacityview.h
@@ -29,6 +29,8 @@
     double minSpeed = 0.0;
     /// Executors to leave out, by index.
     const std::vector<std::size_t> *excluded = nullptr;
+    /// Executors whose free capacity has grown within this time are left out.
+    Duration minFreeFor{};
 };
 
 /// \brief The executors of all data centres with the free capacity that their holders reported
@@ -127,6 +129,8 @@
         std::string holder;
         Resources reserved;
         MonotonicTime reported;
+        /// When the free capacity grew last.
+        MonotonicTime freeSince;
         double speed = 1.0;
         /// Executors of one class count as equally fast; 0 is average, higher is faster.
         int speedClass = 0;
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -282,11 +282,23 @@
             });
     } else {
         m_scheduler.place();
+        placeAfterYielding();
     }
-    sendWaitingCount();
+    reportWaiting();
     scheduleExpiry();
 }
 
+// Capacity that the more urgent jobs of other hosts have left is free for all then.
+void BatchHost::placeAfterYielding()
+{
+    if (!m_scheduler.hasYielded() || std::exchange(m_isYieldEndDue, true))
+        return;
+    m_timers.after(BatchScheduler::YieldPeriod, [this] {
+        m_isYieldEndDue = false;
+        place();
+    });
+}
+
 void BatchHost::scheduleExpiry()
 {
     const auto next = m_scheduler.nextExpiry();
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -139,7 +139,8 @@
     void handleEnd(const RunEnd &end, const std::string &executor);
     void capacityChanged();
     void collectCapacityChanges();
-    void sendWaitingCount();
+    void reportWaiting();
+    void setWaiting(const std::string &host, std::optional<WaitingUrgency> urgency);
     void sendHeartbeats();
     [[nodiscard]] std::set<std::string> heartbeatHosts() const;
     void addAllCapacity(Frame &frame) const;
@@ -158,6 +159,7 @@
     void stopRunsOf(const std::string &owner);
     void abandonRunsAt(const std::string &host, MonotonicTime lastReceived);
     void schedulePlacement();
+    void placeAfterYielding();
     void place();
     void checkSuspension();
     void checkForStalls();
@@ -191,7 +193,9 @@
     JobNumber m_lastJob;
     bool m_isPlacementDue = false;
     bool m_isQuietPeriodEndDue = false;
-    bool m_hasReportedWaiting = false;
+    bool m_isYieldEndDue = false;
+    /// The urgency that was reported to the other hosts last.
+    std::optional<WaitingUrgency> m_reportedUrgency;
     TimerScope m_timers;
 };
 
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -19,6 +19,15 @@
 using wire::meshframe::MeshRun;
 using wire::meshframe::MeshStart;
 
+namespace {
+
+WaitingUrgency urgencyOf(const wire::meshframe::MeshFrame &frame)
+{
+    return WaitingUrgency(static_cast<int>(frame.waitingPriority.value_or(WaitingUrgency::Late)));
+}
+
+} // namespace
+
 void BatchHost::runEnded(const RunEnd &end, const std::string &executor)
 {
     const std::string owner = m_runs.ownerOf(end.run, executor);
@@ -58,7 +67,8 @@
     m_relay.received(frame);
     m_relayed.received(frame);
     if (frame.waiting)
-        m_capacityReporter.setWaiting(frame.host, *frame.waiting > 0);
+        setWaiting(frame.host,
+                   *frame.waiting > 0 ? std::make_optional(urgencyOf(frame)) : std::nullopt);
     handleReplies(frame);
     for (const CapacityReport &report : mesh::capacityReportsOf(frame))
         m_view.report(report);
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -39,15 +39,27 @@
     }
 }
 
-/// Holders report capacity immediately to hosts with waiting jobs, and at intervals to the others.
-void BatchHost::sendWaitingCount()
+/// Holders report capacity immediately to the hosts with the most urgent jobs, and at intervals to the
+/// others.
+void BatchHost::reportWaiting()
 {
-    const std::size_t waiting = m_scheduler.waitingJobs();
-    if ((waiting > 0) == m_hasReportedWaiting)
+    const auto urgency = m_scheduler.waitingUrgency();
+    if (urgency == m_reportedUrgency)
         return;
-    m_hasReportedWaiting = waiting > 0;
-    for (const std::string &host : m_mesh.connectedHosts())
-        m_mesh.frameFor(host)->waiting = static_cast<std::int64_t>(waiting);
+    m_reportedUrgency = urgency;
+    for (const std::string &host : m_mesh.connectedHosts()) {
+        Frame *const frame = m_mesh.frameFor(host);
+        frame->waiting = static_cast<std::int64_t>(m_scheduler.waitingJobs());
+        frame->waitingPriority.reset();
+        if (urgency && urgency->priority() != WaitingUrgency::Late)
+            frame->waitingPriority = urgency->priority();
+    }
+}
+
+void BatchHost::setWaiting(const std::string &host, std::optional<WaitingUrgency> urgency)
+{
+    m_capacityReporter.setWaiting(host, urgency);
+    m_scheduler.setOthersUrgency(m_capacityReporter.mostUrgentNear());
 }
 
 void BatchHost::sendHeartbeats()
@@ -59,11 +71,9 @@
         m_view.report(report);
         capacities[report.executor] = report.freeCapacity;
     }
-    if (m_hasReportedWaiting) {
-        // Hosts that were not connected missed the previous count.
-        m_hasReportedWaiting = false;
-        sendWaitingCount();
-    }
+    // Hosts that were not connected missed the previous report.
+    if (std::exchange(m_reportedUrgency, std::nullopt))
+        reportWaiting();
     const std::size_t heartbeat = m_heartbeats++;
     const bool isForAll = heartbeat % HeartbeatsForAll == 0;
     const std::set<std::string> sharing = heartbeatHosts();
@@ -117,8 +127,8 @@
     hosts.insert(nearPeers.begin(), nearPeers.end());
     for (const std::set<std::string> &sharing : {m_relay.hosts(), m_relayed.hosts()})
         hosts.insert(sharing.begin(), sharing.end());
-    hosts.insert(m_capacityReporter.waitingHosts().begin(),
-                 m_capacityReporter.waitingHosts().end());
+    const std::set<std::string> waiting = m_capacityReporter.waitingHosts();
+    hosts.insert(waiting.begin(), waiting.end());
     for (const auto &[run, placed] : m_placed)
         hosts.insert(placed.holder);
     return hosts;
@@ -162,7 +172,7 @@
         const Duration limit = isExpected ? SilentAfter : FarSilentAfter;
         if (host.name == m_settings.name || m_peers.silence(host.name) < limit)
             continue;
-        m_capacityReporter.setWaiting(host.name, false);
+        setWaiting(host.name, std::nullopt);
         if (m_peers.mayRedial(host.name))
             m_mesh.redial(host.name);
         abandonRunsAt(host.name, m_peers.lastReceived(host.name));
--- a/src/daemon/batch/capacityreporter.cpp
+++ b/src/daemon/batch/capacityreporter.cpp
@@ -23,14 +23,39 @@
 {
 }
 
-void CapacityReporter::setWaiting(const std::string &host, bool isWaiting)
+void CapacityReporter::setWaiting(const std::string &host, std::optional<WaitingUrgency> urgency)
 {
-    if (isWaiting)
-        m_waitingHosts.insert(host);
+    if (urgency)
+        m_waitingHosts.insert_or_assign(host, *urgency);
     else
         m_waitingHosts.erase(host);
 }
 
+std::set<std::string> CapacityReporter::waitingHosts() const
+{
+    std::set<std::string> hosts;
+    for (const auto &[host, urgency] : m_waitingHosts)
+        hosts.insert(host);
+    return hosts;
+}
+
+std::optional<WaitingUrgency> CapacityReporter::mostUrgentNear() const
+{
+    std::optional<WaitingUrgency> most;
+    for (const std::string &host : m_nearHosts) {
+        const auto waiting = m_waitingHosts.find(host);
+        if (waiting != m_waitingHosts.end() && (!most || waiting->second.isBefore(*most)))
+            most = waiting->second;
+    }
+    return most;
+}
+
+bool CapacityReporter::isMostUrgent(const std::string &host) const
+{
+    const auto waiting = m_waitingHosts.find(host);
+    return waiting != m_waitingHosts.end() && waiting->second == mostUrgentNear();
+}
+
 void CapacityReporter::queue(const CapacityReport &report)
 {
     m_pending[report.executor] = report.freeCapacity;
@@ -57,19 +82,19 @@
 void CapacityReporter::reportToNear()
 {
     m_isNearReportDue = false;
-    std::vector<std::string> notWaiting;
-    std::vector<std::string> waiting;
+    std::vector<std::string> others;
+    std::vector<std::string> offered;
     for (const std::string &host : m_nearHosts)
-        (m_waitingHosts.count(host) > 0 ? waiting : notWaiting).push_back(host);
-    report(m_pending, notWaiting);
-    // Free capacity was already offered to one of them.
+        (isMostUrgent(host) ? offered : others).push_back(host);
+    report(m_pending, others);
+    // Free capacity was already offered to one of the most urgent hosts.
     std::map<std::string, Resources> full;
     for (const auto &[executor, capacity] : m_pending) {
         if (capacity.milliCores <= 0)
             full.emplace(executor, capacity);
     }
     if (!full.empty())
-        report(full, waiting);
+        report(full, offered);
     m_pending.clear();
 }
 
@@ -78,7 +103,7 @@
     m_isUrgentReportDue = false;
     std::vector<std::string> hosts;
     for (const std::string &host : m_nearHosts) {
-        if (m_waitingHosts.count(host) > 0)
+        if (isMostUrgent(host))
             hosts.push_back(host);
     }
     for (const auto &[host, capacities] : m_offers.distribute(m_urgent, hosts))
--- a/src/daemon/batch/capacityreporter.h
+++ b/src/daemon/batch/capacityreporter.h
@@ -3,10 +3,12 @@
 #include "anvilmill/executor/resources.h"
 #include "anvilmill/scheduling/capacityoffers.h"
 #include "anvilmill/scheduling/capacityview.h"
+#include "anvilmill/scheduling/waitingurgency.h"
 #include "batch/mesh.h"
 #include "loop/timerscope.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,16 +29,16 @@
     void setNearHosts(std::vector<std::string> hosts) { m_nearHosts = std::move(hosts); }
     [[nodiscard]] const std::vector<std::string> &nearHosts() const noexcept { return m_nearHosts; }
 
-    /// \brief Sets whether jobs of \p host wait for capacity.
-    void setWaiting(const std::string &host, bool isWaiting);
+    /// \brief Sets the urgency of the jobs of \p host that wait for capacity; std::nullopt if none wait.
+    void setWaiting(const std::string &host, std::optional<WaitingUrgency> urgency);
     [[nodiscard]] bool isWaiting(const std::string &host) const
     {
         return m_waitingHosts.count(host) > 0;
     }
-    [[nodiscard]] const std::set<std::string> &waitingHosts() const noexcept
-    {
-        return m_waitingHosts;
-    }
+    [[nodiscard]] std::set<std::string> waitingHosts() const;
+
+    /// \brief The most urgent of the jobs that wait on near hosts; std::nullopt if none wait.
+    [[nodiscard]] std::optional<WaitingUrgency> mostUrgentNear() const;
 
     /// \brief Queues a capacity report.
     void queue(const CapacityReport &report);
@@ -54,6 +56,7 @@
 private:
     void reportToNear();
     void reportToWaiting();
+    [[nodiscard]] bool isMostUrgent(const std::string &host) const;
 
     Mesh &m_mesh;
     std::string m_self;
@@ -61,7 +64,7 @@
     std::map<std::string, Resources> m_pending;
     std::map<std::string, Resources> m_urgent;
     CapacityOffers m_offers;
-    std::set<std::string> m_waitingHosts;
+    std::map<std::string, WaitingUrgency> m_waitingHosts;
     std::vector<std::string> m_nearHosts;
     bool m_isNearReportDue = false;
     bool m_isUrgentReportDue = false;
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -13,6 +13,9 @@
 constexpr CircuitBreakerSettings StartDeliverySettings{2, 2, CircuitBreakerSettings{}.firstBackoff,
                                                        CircuitBreakerSettings{}.longestBackoff};
 
+/// The ends that an executor lists between two holds, with a margin.
+constexpr std::size_t MaxRecentEnds = 64;
+
 template <typename Target, typename Source>
 Target durationAs(Source duration)
 {
@@ -220,6 +223,7 @@
         return;
     m_incarnation = report.incarnation;
     m_acknowledgedThrough = 0;
+    m_recentEnds.clear();
     m_runOutcomes.succeeded();
     m_startDelivery.succeeded();
 }
@@ -232,6 +236,7 @@
         m_acknowledgedThrough = listed.number;
         ended.push_back(listed.end);
         recordOutcome(listed.end);
+        rememberEnd(listed.end.run);
         const auto found = m_runs.find(listed.end.run);
         if (found == m_runs.end())
             continue;
@@ -241,6 +246,18 @@
     }
 }
 
+void HeldExecutor::rememberEnd(const RunId &run)
+{
+    m_recentEnds.push_back(run);
+    if (m_recentEnds.size() > MaxRecentEnds)
+        m_recentEnds.pop_front();
+}
+
+bool HeldExecutor::hasEnded(const RunId &run) const
+{
+    return std::find(m_recentEnds.begin(), m_recentEnds.end(), run) != m_recentEnds.end();
+}
+
 void HeldExecutor::recordOutcome(const RunEnd &end)
 {
     if (end.outcome == RunOutcome::Done)
@@ -252,6 +269,9 @@
 void HeldExecutor::applyActive(const HoldReport &report)
 {
     for (const RunId &run : report.active) {
+        // The executor's clock doesn't order two answers that were written in the same millisecond.
+        if (hasEnded(run))
+            continue;
         const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Inherited, {}, 0, {}});
         if (isNew) {
             ++m_inheritedRuns;
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -178,7 +178,9 @@
 
 void BatchScheduler::place()
 {
-    std::map<std::string, UnfitDemands> unfit;
+    m_hasYielded = false;
+    /// By service, and by whether the job leaves capacity to other hosts.
+    std::map<std::pair<std::string, bool>, UnfitDemands> unfit;
     std::map<std::string, double> fastestSpeeds;
     std::vector<JobNumber> waiting;
     waiting.reserve(m_queue.size());
@@ -191,17 +193,37 @@
         if (fastest == fastestSpeeds.end())
             fastest = fastestSpeeds.emplace(service, m_view.fastestSpeed(service)).first;
         const std::uint32_t next = job.unstarted.back();
-        if (unfit[service].includes(job.job.tasks[next].resources.milliCores,
-                                    minSpeedFor(job, next, fastest->second)))
+        const bool isYieldingJob = isYielding(job);
+        UnfitDemands &unfitDemands = unfit[{service, isYieldingJob}];
+        if (unfitDemands.includes(job.job.tasks[next].resources.milliCores,
+                                  minSpeedFor(job, next, fastest->second)))
             continue;
         if (placeTasks(number, job, fastest->second))
             continue;
         const std::uint32_t failed = job.unstarted.back();
-        unfit[service].add(job.job.tasks[failed].resources.milliCores,
-                           minSpeedFor(job, failed, fastest->second));
+        m_hasYielded = m_hasYielded || isYieldingJob;
+        unfitDemands.add(job.job.tasks[failed].resources.milliCores,
+                         minSpeedFor(job, failed, fastest->second));
     }
 }
 
+WaitingUrgency BatchScheduler::urgencyOf(const Job &job)
+{
+    return WaitingUrgency(job.isLate ? WaitingUrgency::Late : job.job.route->priority);
+}
+
+std::optional<WaitingUrgency> BatchScheduler::waitingUrgency() const
+{
+    if (m_queue.empty())
+        return std::nullopt;
+    return urgencyOf(m_jobs.at(m_queue.begin()->number));
+}
+
+bool BatchScheduler::isYielding(const Job &job) const
+{
+    return m_othersUrgency && m_othersUrgency->isBefore(urgencyOf(job));
+}
+
 /// The speed below which the task would end after the job's target; 0 if no executor is fast
 /// enough, or if the job is late already.
 double BatchScheduler::minSpeedFor(const Job &job, std::uint32_t task, double fastestSpeed) const
@@ -222,9 +244,13 @@
         const Task &task = job.tasks[index];
         const Resources &demand = job.job.tasks[index].resources;
         const double minSpeed = minSpeedFor(job, index, fastestSpeed);
-        auto executor = m_view.bestFor({service, demand, minSpeed, &task.tried});
-        if (!executor && !task.tried.empty())
-            executor = m_view.bestFor({service, demand, minSpeed, nullptr});
+        PlacementQuery query{service, demand, minSpeed, &task.tried,
+                             isYielding(job) ? YieldPeriod : Duration{}};
+        auto executor = m_view.bestFor(query);
+        if (!executor && !task.tried.empty()) {
+            query.excluded = nullptr;
+            executor = m_view.bestFor(query);
+        }
         if (!executor)
             return false;
         job.unstarted.pop_back();
--- a/src/lib/scheduling/capacityview.cpp
+++ b/src/lib/scheduling/capacityview.cpp
@@ -62,6 +62,8 @@
     if (!index)
         return;
     Entry &entry = m_entries[*index];
+    if (report.freeCapacity.milliCores > entry.freeCapacity.milliCores)
+        entry.freeSince = m_clock.now();
     entry.freeCapacity = report.freeCapacity;
     entry.holder = report.holder;
     entry.reported = m_clock.now();
@@ -146,6 +148,8 @@
     if (!isRecent(entry, cutoffs) || !isUsable(entry, query.service)
         || entry.speed < query.minSpeed)
         return false;
+    if (query.minFreeFor > Duration{} && m_clock.now() < entry.freeSince + query.minFreeFor)
+        return false;
     Resources available = entry.freeCapacity;
     available -= entry.reserved;
     return query.demand.fitsInto(available);
