Urgency of waiting jobs: to near hosts, and on each new connection

Cause (by reading): a host that reconnects or is no longer near could count as waiting for good, and the others would leave it what becomes free for 10 ms each time; in a large fleet each change of urgency went to all connected hosts. Change: changes go to near hosts, the others hear only whether jobs wait; a new connection begins with the present state; the urgency of hosts that are near no longer is dropped.

--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -140,6 +140,7 @@
     void capacityChanged();
     void collectCapacityChanges();
     void reportWaiting();
+    void addWaiting(Frame &frame) const;
     void setWaiting(const std::string &host, std::optional<WaitingUrgency> urgency);
     void sendHeartbeats();
     [[nodiscard]] std::set<std::string> heartbeatHosts() const;
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -165,6 +165,7 @@
     if (!frame)
         return;
     frame->areAllClaims = true;
+    addWaiting(*frame);
     // The host missed the reports that were sent while it was disconnected.
     if (m_topology.needsCapacityReports(host))
         addAllCapacity(*frame);
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -40,22 +40,30 @@
 }
 
 /// Holders report capacity immediately to the hosts with the most urgent jobs, and at intervals to the
-/// others.
+/// others. Hosts of other data centres need to know only whether jobs wait here.
 void BatchHost::reportWaiting()
 {
     const auto urgency = m_scheduler.waitingUrgency();
     if (urgency == m_reportedUrgency)
         return;
+    const bool isForAll = urgency.has_value() != m_reportedUrgency.has_value();
     m_reportedUrgency = urgency;
-    for (const std::string &host : m_mesh.connectedHosts()) {
+    for (const std::string &host :
+         isForAll ? m_mesh.connectedHosts() : m_capacityReporter.nearHosts()) {
         Frame *const frame = m_mesh.frameFor(host);
-        frame->waiting = static_cast<std::int64_t>(m_scheduler.waitingJobs());
-        frame->waitingPriority.reset();
-        if (urgency && urgency->priority() != WaitingUrgency::Late)
-            frame->waitingPriority = urgency->priority();
+        if (frame)
+            addWaiting(*frame);
     }
 }
 
+void BatchHost::addWaiting(Frame &frame) const
+{
+    frame.waiting = static_cast<std::int64_t>(m_scheduler.waitingJobs());
+    frame.waitingPriority.reset();
+    if (m_reportedUrgency && m_reportedUrgency->priority() != WaitingUrgency::Late)
+        frame.waitingPriority = m_reportedUrgency->priority();
+}
+
 void BatchHost::setWaiting(const std::string &host, std::optional<WaitingUrgency> urgency)
 {
     m_capacityReporter.setWaiting(host, urgency);
@@ -104,6 +112,7 @@
     m_mesh.setHosts(hosts);
     m_topology.setConnected(hosts);
     m_capacityReporter.setNearHosts(m_topology.nearDispatchers());
+    m_scheduler.setOthersUrgency(m_capacityReporter.mostUrgentNear());
 }
 
 void BatchHost::updateGauges()
