--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(onlyAHoldSentAfterASuspensionVerifiesTheLease);
     CPPUNIT_TEST(startWithAnOldRunNumberIsSuperseded);
     CPPUNIT_TEST(outdatedAnswerDoesNotRestoreAnEndedRun);
+    CPPUNIT_TEST(answerOfTheSameMillisecondDoesNotRestoreAnEndedRun);
     CPPUNIT_TEST(answerOfAnEarlierProcessIsIgnored);
     CPPUNIT_TEST(unansweredStartIsResolvedWhileAHoldWaits);
     CPPUNIT_TEST(executorThatFailsEverythingGetsFewProbes);
@@ -295,6 +296,23 @@
         CPPUNIT_ASSERT(m_held->mayStart());
     }
 
+    // The executor's clock doesn't order answers that were written in the same millisecond. A run
+    // that came back blocked the executor until its next answer, and was reported as lost then.
+    void answerOfTheSameMillisecondDoesNotRestoreAnEndedRun()
+    {
+        start("a");
+        m_clock->advance(milliseconds(10));
+        const HoldOrder first = m_held->nextHold(Intervals);
+        const auto early = m_executor->hold(first);
+        m_executor->end(runOf("a"), RunOutcome::Done);
+        const HoldOrder second = m_held->nextHold(Intervals);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             m_held->holdAnswered(second, *m_executor->hold(second)).size());
+        CPPUNIT_ASSERT(m_held->holdAnswered(first, *early).empty());
+        CPPUNIT_ASSERT(m_held->mayStart());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_held->runs());
+    }
+
     void answerOfAnEarlierProcessIsIgnored()
     {
         start("a");
--- a/tests/unit/scheduling/test_capacityreportintervals.cpp
+++ b/tests/unit/scheduling/test_capacityreportintervals.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(farReportsDoNotGrowWithTheFleet);
     CPPUNIT_TEST(hostsWithWaitingJobsGetReportsSooner);
     CPPUNIT_TEST(smallFleetReportsInEachHeartbeat);
+    CPPUNIT_TEST(changeReportsAreAtMostOneFrameAMillisecond);
     CPPUNIT_TEST(timelyReportsAreNotStale);
     CPPUNIT_TEST_SUITE_END();
 
@@ -72,6 +73,16 @@
         CPPUNIT_ASSERT(intervals.nearStaleAfter == Duration(milliseconds(900)));
     }
 
+    void changeReportsAreAtMostOneFrameAMillisecond()
+    {
+        for (const std::size_t near : {1U, 6U, 10U, 25U}) {
+            const auto frames = static_cast<Duration::rep>(near);
+            CPPUNIT_ASSERT(changeReportInterval(near) >= frames * Duration(milliseconds(1)));
+        }
+        CPPUNIT_ASSERT(changeReportInterval(6) < changeReportInterval(25));
+        CPPUNIT_ASSERT(changeReportInterval(1000) <= milliseconds(25));
+    }
+
     void timelyReportsAreNotStale()
     {
         for (const std::size_t far : {0U, 42U, 92U, 2000U}) {
--- a/tests/unit/scheduling/test_sharedexecutors.cpp
+++ b/tests/unit/scheduling/test_sharedexecutors.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(dispatchersOfALargeDataCentreStartOnOwnExecutors);
     CPPUNIT_TEST(capacityIsUsedUnderOverload);
     CPPUNIT_TEST(startsUnderOverloadAreRarelyRefused);
+    CPPUNIT_TEST(urgentJobsOfAllHostsComeFirstUnderOverload);
     CPPUNIT_TEST(capacityIsOfferedToWaitingHostsInTurn);
     CPPUNIT_TEST_SUITE_END();
 
@@ -83,6 +84,23 @@
         CPPUNIT_ASSERT(refused < MaxRefusedShare * static_cast<double>(simulation.starts()));
     }
 
+    // Load: seven hosts with 1.2 times the work that 48 executors can do. An urgent job has eight
+    // tasks of 51 ms; its target is 162 ms. With one order for each host, its tasks wait for what the
+    // executors of its own host free, while those of others start less urgent tasks.
+    void urgentJobsOfAllHostsComeFirstUnderOverload()
+    {
+        constexpr double Overload = 1.2;
+        constexpr Duration Target = milliseconds(2 * 51 + 60);
+        constexpr double MinInTime = 0.95;
+        SharedExecutors shared(7, 48, SharedExecutors::Priorities::ByKind);
+        shared.run(Overload, seconds(10));
+        SharedExecutors separate(7, 48, SharedExecutors::Priorities::ByKind,
+                                 SharedExecutors::Urgency::NotShared);
+        separate.run(Overload, seconds(10));
+        CPPUNIT_ASSERT(shared.urgentResponseTime(MinInTime) <= Target);
+        CPPUNIT_ASSERT(separate.urgentResponseTime(MinInTime) > Target);
+    }
+
     void capacityIsOfferedToWaitingHostsInTurn()
     {
         CapacityOffers offers;
