--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -32,8 +32,9 @@
 /// in time gets only the capacity that these leave. A job that can't end while its answer is still
 /// useful is refused at once. A job that was started precedes all others of its priority, since its
 /// completed work would be lost otherwise. A task that would be late on a slow executor waits for a
-/// faster one as long as it can be in time there; the slow ones run shorter tasks meanwhile. A failed task is retried on another executor. Whether an
-/// executor gets starts at all is decided by its lease holder, which sees all of its runs.
+/// faster one as long as it can be in time there; the slow ones run shorter tasks meanwhile. A
+/// failed task is retried on another executor. Whether an executor gets starts at all is decided by
+/// its lease holder, which sees all of its runs.
 ///
 /// Thread safety: one thread at a time. Methods call the output before they return.
 class BatchScheduler
