--- a/include/anvilmill/executor/run.h
+++ b/include/anvilmill/executor/run.h
@@ -58,6 +58,9 @@
     std::optional<Duration> ran;
     /// The executor crashed while it had the run, perhaps because of it.
     bool hasExecutorCrashed = false;
+    /// Concluded by a holder from the time since it last requested a lease, not reported by the
+    /// executor.
+    bool isInferred = false;
 };
 
 } // namespace anvilmill
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -45,8 +45,18 @@
 void BatchHost::handleEnd(const RunEnd &end, const std::string &executor)
 {
     const auto placed = m_placed.find(end.run);
-    if (placed == m_placed.end() || m_view.idOf(placed->second.executor) != executor)
+    if (placed == m_placed.end())
         return;
+    if (m_view.idOf(placed->second.executor) != executor) {
+        m_metrics.runDecided("endIgnored");
+        LogEvent("run.endIgnored")
+                .with("task", end.run.task)
+                .with("run", end.run.number)
+                .with("executor", executor)
+                .with("placedOn", m_view.idOf(placed->second.executor))
+                .with("outcome", asString(end.outcome));
+        return;
+    }
     m_placed.erase(placed);
     m_scheduler.runEnded(end);
 }
@@ -123,12 +133,22 @@
 
 void BatchHost::handleClaim(const RunClaim &claim)
 {
-    if (const auto end = m_runs.endOf(claim.run, claim.host, claim.executor))
+    const char *outcome = "early";
+    if (const auto end = m_runs.endOf(claim.run, claim.host, claim.executor)) {
+        outcome = "ended";
         sendEnd(claim.host, *end, claim.executor);
-    else if (m_holder.adopt(claim.executor, claim.run, claim.demand))
+    } else if (m_holder.adopt(claim.executor, claim.run, claim.demand)) {
+        outcome = "adopted";
         m_runs.setOwner(claim.run, claim.host, claim.executor);
-    else
+    } else {
         m_earlyClaims.add(claim);
+    }
+    LogEvent("run.claimed")
+            .with("task", claim.run.task)
+            .with("run", claim.run.number)
+            .with("executor", claim.executor)
+            .with("host", claim.host)
+            .with("outcome", outcome);
 }
 
 // The sender claims the runs that it has recorded as running here. If a run has already ended,
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -213,6 +213,13 @@
             ended.push_back(run);
     }
     for (const RunId &run : ended) {
+        m_metrics.runDecided("abandoned");
+        LogEvent("run.abandoned", LogEvent::Level::Warning)
+                .with("task", run.task)
+                .with("run", run.number)
+                .with("executor", m_view.idOf(m_placed.at(run).executor))
+                .with("host", host)
+                .with("silent", m_clock.now() - lastReceived);
         m_placed.erase(run);
         m_scheduler.runEnded({run, RunOutcome::Lapsed, std::nullopt});
     }
--- a/src/daemon/batch/batchmetrics.cpp
+++ b/src/daemon/batch/batchmetrics.cpp
@@ -76,6 +76,11 @@
     time("anvilmill_run_seconds", {"outcome"}, {outcome}, ran);
 }
 
+void BatchMetrics::runDecided(const std::string &decision)
+{
+    count("anvilmill_run_decisions_total", {"decision"}, {decision});
+}
+
 void BatchMetrics::storeCalled(const std::string &purpose, const std::string &outcome,
                                Duration took)
 {
--- a/src/daemon/batch/batchmetrics.h
+++ b/src/daemon/batch/batchmetrics.h
@@ -28,6 +28,9 @@
     /// \brief Records the end of a run on an executor that this host holds.
     void runEnded(const std::string &outcome, Duration ran);
 
+    /// \brief Records a decision about a run other than its end, such as a repeated stop.
+    void runDecided(const std::string &decision);
+
     /// \brief Records the outcome of a call to the platform's store.
     void storeCalled(const std::string &purpose, const std::string &outcome, Duration took);
 
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -4,6 +4,7 @@
 #include "loop/timerqueue.h"
 
 #include <algorithm>
+#include <deque>
 
 namespace anvilmill::daemon {
 
@@ -17,6 +18,8 @@
 constexpr Duration StopRetryDelay = std::chrono::milliseconds(200);
 /// After this many attempts the executor's lease has expired, which ends the run.
 constexpr int MaxStopAttempts = 8;
+/// The runs of an executor that are concluded to have ended, with a margin.
+constexpr std::size_t MaxInferredEnds = 64;
 
 } // namespace
 
@@ -31,7 +34,10 @@
     HeldExecutor executor;
     /// Runs for which stop orders are being sent.
     std::set<RunId> stopping;
+    /// Runs that were reported as lapsed without an answer from the executor, oldest first.
+    std::deque<RunId> inferredEnds;
     std::optional<MonotonicTime> scheduledProbe;
+    std::uint64_t incarnation = 0;
     bool isHoldInFlight = false;
     /// A second hold is in flight, to resolve unanswered starts while the first one waits for ends.
     bool isSecondHoldInFlight = false;
@@ -162,7 +168,7 @@
         }
         entry->isUnresponsive = true;
         m_lossTracker.lost(executor.registration().id);
-        reportEnds(executor.registration().id, executor.holdUnanswered(reply.isClosedByExecutor));
+        reportEnds(entry, executor.holdUnanswered(reply.isClosedByExecutor));
         scheduleHold(entry, m_lossTracker.intervals().retryDelay);
         break;
     }
@@ -172,11 +178,43 @@
 void HolderService::applyReport(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
                                 const HoldReport &report)
 {
-    reportEnds(entry->executor.registration().id, entry->executor.holdAnswered(order, report));
+    checkIncarnation(*entry, report);
+    checkInferredEnds(*entry, report);
+    reportEnds(entry, entry->executor.holdAnswered(order, report));
     scheduleProbe(entry);
     stopOrphans(entry);
 }
 
+void HolderService::checkIncarnation(Entry &entry, const HoldReport &report)
+{
+    const std::uint64_t previous = std::exchange(entry.incarnation, report.incarnation);
+    if (previous == 0 || previous == report.incarnation)
+        return;
+    m_metrics.executorChanged("restarted");
+    LogEvent("executor.restarted", LogEvent::Level::Warning)
+            .with("executor", entry.executor.registration().id)
+            .with("incarnation", report.incarnation)
+            .with("previous", previous)
+            .with("runs", entry.executor.runs());
+}
+
+/// Logs runs that the executor still has although they were reported as lapsed.
+void HolderService::checkInferredEnds(Entry &entry, const HoldReport &report)
+{
+    for (const RunId &run : report.active) {
+        const auto inferred = std::find(entry.inferredEnds.begin(), entry.inferredEnds.end(), run);
+        if (inferred == entry.inferredEnds.end())
+            continue;
+        entry.inferredEnds.erase(inferred);
+        m_metrics.runDecided("listedAgain");
+        LogEvent("run.listedAgain", LogEvent::Level::Warning)
+                .with("task", run.task)
+                .with("run", run.number)
+                .with("executor", entry.executor.registration().id)
+                .with("fence", entry.executor.fence());
+    }
+}
+
 /// Sends a second hold in parallel to the one that waits for ends: to query the outcome of
 /// unanswered starts immediately, and to receive ends while orders are being lost.
 void HolderService::sendSecondHold(const std::shared_ptr<Entry> &entry)
@@ -291,7 +329,7 @@
             .with("executor", executor.registration().id)
             .with("fence", order.fence)
             .with("outcome", asString(end->outcome));
-    reportEnds(executor.registration().id, {*end});
+    reportEnds(entry, {*end});
 }
 
 bool HolderService::adopt(const std::string &executor, const RunId &run, const Resources &demand)
@@ -326,6 +364,14 @@
         entry->stopping.erase(run);
         return;
     }
+    LogEvent("run.stopSent", attempt == 0 ? LogEvent::Level::Info : LogEvent::Level::Warning)
+            .with("task", run.task)
+            .with("run", run.number)
+            .with("executor", entry->executor.registration().id)
+            .with("fence", order->fence)
+            .with("attempt", attempt);
+    if (attempt > 0)
+        m_metrics.runDecided("stopRepeated");
     m_calls.stop(entry->executor.registration(), *order, [](bool) {});
     m_timers.after(StopRetryDelay,
                    [this, entry, run, attempt] { sendStop(entry, run, attempt + 1); });
@@ -336,6 +382,7 @@
     for (const RunId &run : entry->executor.orphans()) {
         if (!entry->stopping.insert(run).second)
             continue;
+        m_metrics.runDecided("orphan");
         LogEvent("run.orphan")
                 .with("task", run.task)
                 .with("run", run.number)
@@ -387,9 +434,15 @@
     return reports;
 }
 
-void HolderService::reportEnds(const std::string &executor, const std::vector<RunEnd> &ends)
+void HolderService::reportEnds(const std::shared_ptr<Entry> &entry, const std::vector<RunEnd> &ends)
 {
+    const std::string executor = entry->executor.registration().id;
     for (const RunEnd &end : ends) {
+        if (end.isInferred) {
+            entry->inferredEnds.push_back(end.run);
+            if (entry->inferredEnds.size() > MaxInferredEnds)
+                entry->inferredEnds.pop_front();
+        }
         m_metrics.runEnded(asString(end.outcome), end.ran.value_or(Duration()));
         if (end.outcome != RunOutcome::Done && end.outcome != RunOutcome::Stopped)
             LogEvent("run.ended")
@@ -398,7 +451,9 @@
                     .with("executor", executor)
                     .with("outcome", asString(end.outcome))
                     .with("ran", end.ran.value_or(Duration()))
-                    .with("executorCrashed", end.hasExecutorCrashed);
+                    .with("executorCrashed", end.hasExecutorCrashed)
+                    .with("inferred", end.isInferred)
+                    .with("fence", entry->executor.fence());
         m_events.runEnded(end, executor);
     }
 }
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -92,7 +92,9 @@
     void sendStop(const std::shared_ptr<Entry> &entry, const RunId &run, int attempt);
     void stopOrphans(const std::shared_ptr<Entry> &entry);
     void markCapacityChanged(const Entry &entry);
-    void reportEnds(const std::string &executor, const std::vector<RunEnd> &ends);
+    void reportEnds(const std::shared_ptr<Entry> &entry, const std::vector<RunEnd> &ends);
+    void checkIncarnation(Entry &entry, const HoldReport &report);
+    void checkInferredEnds(Entry &entry, const HoldReport &report);
 
     const Clock &m_clock;
     ExecutorCalls &m_calls;
--- a/src/daemon/batch/meshmessages.cpp
+++ b/src/daemon/batch/meshmessages.cpp
@@ -58,13 +58,15 @@
         message.ranUs = std::chrono::duration_cast<std::chrono::microseconds>(*end.ran).count();
     if (end.hasExecutorCrashed)
         message.executorCrashed = true;
+    if (end.isInferred)
+        message.inferred = true;
     return message;
 }
 
 RunEnd endOf(const MeshEnd &message)
 {
     RunEnd end{runOf(message), fromWire(message.outcome), std::nullopt,
-               message.executorCrashed.value_or(false)};
+               message.executorCrashed.value_or(false), message.inferred.value_or(false)};
     if (message.ranUs)
         end.ran = std::chrono::microseconds(*message.ranUs);
     return end;
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -348,7 +348,7 @@
         // A start that was not confirmed may never have reached the executor.
         const bool wasRunning = m_runs.begin()->second.state == RunState::Running;
         ended.push_back({m_runs.begin()->first, RunOutcome::Lapsed, std::nullopt,
-                         wasRunning && m_hasClosedConnection});
+                         wasRunning && m_hasClosedConnection, true});
         remove(m_runs.begin());
     }
     return ended;
