Red test: a task runs twice while its former holder is partitioned from the executor

A host that can't read the store keeps an executor that has another holder by now; cut off from the executor as well, it takes the runs there as lapsed and tells the jobs' hosts, which start the tasks again while the new holder renews the lease.

--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -1,6 +1,7 @@
 #include "batch/batchhost.h"
 #include "batch/batchmetrics.h"
 #include "fakes/loopexecutors.h"
+#include "fakes/partitionedexecutors.h"
 #include "fakes/unusedport.h"
 #include "loop/timerqueue.h"
 
@@ -16,6 +17,7 @@
 using namespace anvilmill::daemon;
 using anvilmill::tests::formatEndpoint;
 using anvilmill::tests::LoopExecutors;
+using anvilmill::tests::PartitionedExecutors;
 using anvilmill::tests::unusedEndpoint;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -38,6 +40,7 @@
     CPPUNIT_TEST(tasksOfALostHolderAreRunAgain);
     CPPUNIT_TEST(runsOfALostHolderContinueUnderTheNextHolder);
     CPPUNIT_TEST(executorsChangeHolderDuringRunningJobs);
+    CPPUNIT_TEST(taskRunsOnceWhileItsFormerHolderIsPartitionedFromTheExecutor);
     CPPUNIT_TEST(claimBeforeTheLeaseTransferTakesEffectLater);
     CPPUNIT_TEST(endsOfSubmissionsToTwoHostsAreKeptApart);
     CPPUNIT_TEST(claimIsNotAnsweredWithTheEndOfAnEarlierSubmission);
@@ -52,6 +55,8 @@
         m_loop = std::make_unique<boost::asio::io_context>(1);
         m_timers = std::make_unique<TimerQueue>(*m_loop, m_clock);
         m_executors = std::make_unique<LoopExecutors>(m_clock, *m_timers);
+        m_executorsOfA = std::make_unique<PartitionedExecutors>(*m_executors, *m_timers);
+        m_executorsOfB = std::make_unique<PartitionedExecutors>(*m_executors, *m_timers);
         m_results.clear();
         // Each test uses its own ports, so that it need not wait until those of an earlier test are
         // free.
@@ -70,6 +75,8 @@
         m_b.reset();
         m_timers->clear();
         m_loop->stop();
+        m_executorsOfA.reset();
+        m_executorsOfB.reset();
         m_executors.reset();
         m_timers.reset();
         m_loop.reset();
@@ -144,6 +151,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_b->heldRuns());
     }
 
+    // Host b doesn't read that a holds its executors now and doesn't reach them: it concludes that
+    // their leases have expired, which a renews.
+    void taskRunsOnceWhileItsFormerHolderIsPartitionedFromTheExecutor()
+    {
+        m_executors->setRunTime(seconds(60));
+        submit(*m_a, "job", 7, MaxWait);
+        waitFor([&] { return runningTasks("job", 7) == 7; });
+        m_executorsOfB->partition();
+        // No hold of b is in flight any more, whose answer would show it the fence of a.
+        runFor(milliseconds(50));
+        m_a->setMembership(membershipOf(2, false, false));
+        runFor(milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, runningTasks("job", 7));
+        CPPUNIT_ASSERT_EQUAL(7, m_executors->starts());
+    }
+
     // A client may resubmit a job to another host while the first host still processes it. The runs
     // of both submissions have the same ids.
     void endsOfSubmissionsToTwoHostsAreKeptApart()
@@ -241,7 +264,8 @@
         settings.name = name;
         settings.dataCentre = "dc";
         settings.meshAddress = address;
-        auto host = std::make_unique<BatchHost>(*m_loop, *m_timers, m_clock, m_random, *m_executors,
+        PartitionedExecutors &executors = name == "a" ? *m_executorsOfA : *m_executorsOfB;
+        auto host = std::make_unique<BatchHost>(*m_loop, *m_timers, m_clock, m_random, executors,
                                                 m_metrics, settings);
         for (const std::string id : {"e1", "e2", "e3", "e4"}) {
             if (name == "a")
@@ -320,6 +344,8 @@
     std::unique_ptr<boost::asio::io_context> m_loop;
     std::unique_ptr<TimerQueue> m_timers;
     std::unique_ptr<LoopExecutors> m_executors;
+    std::unique_ptr<PartitionedExecutors> m_executorsOfA;
+    std::unique_ptr<PartitionedExecutors> m_executorsOfB;
     std::unique_ptr<BatchHost> m_a;
     std::unique_ptr<BatchHost> m_b;
     std::map<std::string, BatchResult> m_results;
