Believe an inferred end only from the executor's present holder

Cause: a host that can't read the store keeps holding executors that have another holder by now. If it is cut off from such an executor as well, it takes the runs there as lapsed 1.32 s after its last request and tells the jobs' hosts. These had claimed the runs from the new holder, which renews the lease; they started the tasks again all the same, since an end counted whoever reported it.

Why it works: only the present holder, from which the owner has claimed the run, can know that nobody renews the lease. Ends that the executor lists count from whichever host. A holder that got the executor back infers from what it knew before, so it isn't believed within the longest lease after the claim. An executor that is gone no longer erases the holder of its runs.

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -191,7 +191,7 @@
 void BatchHost::startTask(const TaskStart &start)
 {
     const std::string holder = reporterOf(start.executor);
-    m_placed[start.run] = {start.executor, start.demand, holder, m_clock.now()};
+    m_placed[start.run] = {start.executor, start.demand, holder, m_clock.now(), ""};
     if (holder == m_settings.name) {
         startHere(start);
         return;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -121,7 +121,11 @@
         /// request.
         std::string holder;
         MonotonicTime requested;
+        /// The holder before the last claim, which continues until it reads of the change; empty if
+        /// the run was not claimed.
+        std::string formerHolder;
     };
+
     using Frame = wire::meshframe::MeshFrame;
 
     void startTask(const TaskStart &start) override;
@@ -136,7 +140,9 @@
     void startHere(const TaskStart &start);
     void startRefused(const RunId &run);
     void runEnded(const RunEnd &end, const std::string &executor);
-    void handleEnd(const RunEnd &end, const std::string &executor);
+    void handleEnd(const RunEnd &end, const std::string &executor, const std::string &reporter);
+    [[nodiscard]] bool isEndOf(const Placed &placed, const RunEnd &end, const std::string &executor,
+                               const std::string &reporter) const;
     void capacityChanged();
     void collectCapacityChanges();
     void reportWaiting();
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -5,6 +5,7 @@
 #include "log.h"
 
 #include <set>
+#include <utility>
 
 namespace anvilmill::daemon {
 
@@ -36,31 +37,46 @@
         sendEnd(owner, end, executor);
         return;
     }
-    handleEnd(end, executor);
+    handleEnd(end, executor, m_settings.name);
     schedulePlacement();
 }
 
-// An end on another executor belongs to an earlier attempt of the job, whose runs have the same
-// identifiers.
-void BatchHost::handleEnd(const RunEnd &end, const std::string &executor)
+void BatchHost::handleEnd(const RunEnd &end, const std::string &executor,
+                          const std::string &reporter)
 {
     const auto placed = m_placed.find(end.run);
     if (placed == m_placed.end())
         return;
-    if (m_view.idOf(placed->second.executor) != executor) {
+    if (!isEndOf(placed->second, end, executor, reporter)) {
         m_metrics.runDecided("endIgnored");
         LogEvent("run.endIgnored")
                 .with("task", end.run.task)
                 .with("run", end.run.number)
                 .with("executor", executor)
                 .with("placedOn", m_view.idOf(placed->second.executor))
-                .with("outcome", asString(end.outcome));
+                .with("reporter", reporter)
+                .with("holder", placed->second.holder)
+                .with("outcome", asString(end.outcome))
+                .with("inferred", end.isInferred);
         return;
     }
     m_placed.erase(placed);
     m_scheduler.runEnded(end);
 }
 
+/// True if \p end is that of the placed run. An end on another executor belongs to an earlier attempt
+/// of the job, whose runs have the same identifiers. Only the present holder can infer an end, since
+/// it may be renewing the lease; right after a claim, it infers from what it knew before.
+bool BatchHost::isEndOf(const Placed &placed, const RunEnd &end, const std::string &executor,
+                        const std::string &reporter) const
+{
+    if (m_view.idOf(placed.executor) != executor)
+        return false;
+    const bool isNewHolder = !placed.formerHolder.empty()
+                             && m_clock.now() - placed.requested < m_settings.hold.longestLease;
+    return !end.isInferred || (placed.holder == reporter && !isNewHolder);
+}
+
 void BatchHost::sendEnd(const std::string &host, const RunEnd &end, const std::string &executor)
 {
     Frame *const frame = m_mesh.frameFor(host);
@@ -97,7 +113,7 @@
             startRefused(runOf(reply));
     }
     for (const MeshEnd &message : frame.ends.value_or(std::vector<MeshEnd>())) {
-        handleEnd(mesh::endOf(message), message.executor);
+        handleEnd(mesh::endOf(message), message.executor, frame.host);
     }
 }
 
@@ -207,9 +223,9 @@
 {
     for (auto &[run, placed] : m_placed) {
         const std::string holder = holderOfExecutor(placed.executor);
-        if (holder == placed.holder)
+        if (holder.empty() || holder == placed.holder)
             continue;
-        placed.holder = holder;
+        placed.formerHolder = std::exchange(placed.holder, holder);
         placed.requested = m_clock.now();
         if (holder == m_settings.name) {
             (void)m_holder.adopt(m_view.idOf(placed.executor), run, placed.demand);
--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -165,6 +165,7 @@
         runFor(milliseconds(2500));
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, runningTasks("job", 7));
         CPPUNIT_ASSERT_EQUAL(7, m_executors->starts());
+        CPPUNIT_ASSERT(m_metrics.asText().find("{decision=\"endIgnored\"}") != std::string::npos);
     }
 
     // A client may resubmit a job to another host while the first host still processes it. The runs
