Renew a lease only while every run of the executor is wanted

Cause: a lease covers all runs of its executor and was renewed whatever they were: runs of an earlier holder before any host had claimed them, and runs whose stops got lost. Stops ended after eight attempts, with the comment that the lease had expired by then; it was being renewed.

Change: no renewal and no start while a run is unclaimed, or from 0.2 s after its first stop until its end is listed. So an unwanted run ends within 0.2 + 1.02 s, less than the 1.3 s after which clients submit a job again. Stops are repeated while the run exists, each 2 s after the eighth. A lapse counts from the first answer to a new holder at the earliest, as the former one may have renewed the lease until then.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -35,6 +35,11 @@
     /// How long orphaned runs, which no host of this membership claims, may continue: the time that
     /// the host responsible for them needs to claim them after a change of holder.
     Duration orphanGrace = std::chrono::milliseconds(300);
+    /// How long after a run's first stop order the lease is still renewed: the time that a stop takes
+    /// and one repetition.
+    Duration stopGrace = std::chrono::milliseconds(200);
+    /// Longest wait of a hold while the lease is not renewed for an unwanted run.
+    Duration unwantedRunWait = std::chrono::milliseconds(50);
 };
 
 /// \brief An order to start a run.
@@ -102,6 +107,10 @@
 /// including starts whose answer was lost. Such a start can't take effect after a hold under a
 /// raised fence, so the first answer to such a hold determines whether the run exists.
 ///
+/// The lease covers all runs of the executor. It is renewed only while each of them is wanted: not
+/// before an inherited run is claimed, nor while the stop of a run is overdue. So an unwanted run ends
+/// within a known time even if no stop arrives.
+///
 /// Thread safety: one thread at a time.
 class HeldExecutor
 {
@@ -129,7 +138,7 @@
     [[nodiscard]] bool isHeld() const noexcept { return m_isHeld; }
 
     /// \brief True if starts may be sent: the executor is held, verified, not draining and has no
-    /// inherited runs.
+    /// unwanted runs.
     [[nodiscard]] bool mayStart() const noexcept;
 
     /// \brief Free capacity for starts; zero unless mayStart() and both circuit breakers allow a
@@ -165,7 +174,7 @@
     void adopt(const RunId &run, const Resources &demand);
 
     /// \brief The order to stop \p run; std::nullopt if the executor is not held or has no such
-    /// run.
+    /// run. From the stop grace period after the first one, the lease is not renewed.
     [[nodiscard]] std::optional<StopOrder> stop(const RunId &run);
 
     /// \brief Returns the next hold, to be sent immediately. Its wait is zero until the executor is
@@ -220,11 +229,15 @@
         Fence fence = 0;
         /// When the run was first confirmed to be on the executor.
         MonotonicTime confirmed;
+        /// When the run was first requested to stop.
+        std::optional<MonotonicTime> stopRequested;
     };
     using Runs = std::map<RunId, Run>;
 
     [[nodiscard]] std::optional<ExecutorTime> leaseUntil() const;
     [[nodiscard]] std::size_t unansweredStarts() const noexcept;
+    /// True if a run may still be active that no host wants.
+    [[nodiscard]] bool hasUnwantedRuns() const noexcept;
     void recordOutcome(const RunEnd &end);
     void rememberEnd(const RunId &run);
     [[nodiscard]] bool hasEnded(const RunId &run) const;
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -16,8 +16,9 @@
 constexpr Duration StartTimeout = std::chrono::milliseconds(50);
 /// A stop takes at most 50 ms; if the end of the run is not reported by then, the order was lost.
 constexpr Duration StopRetryDelay = std::chrono::milliseconds(200);
-/// After this many attempts the executor's lease has expired, which ends the run.
-constexpr int MaxStopAttempts = 8;
+/// The run has ended by then unless the executor can't be reached.
+constexpr int StopsBeforeBackoff = 8;
+constexpr Duration StopBackoff = std::chrono::seconds(2);
 /// The runs of an executor that are concluded to have ended, with a margin.
 constexpr std::size_t MaxInferredEnds = 64;
 
@@ -354,13 +355,14 @@
 bool HolderService::has(const std::string &executor, const RunId &run) const
 {
     const auto found = m_entries.find(executor);
-    return found != m_entries.end() && found->second->executor.stop(run).has_value();
+    return found != m_entries.end() && found->second->executor.isHeld()
+           && found->second->executor.hasRun(run);
 }
 
 void HolderService::sendStop(const std::shared_ptr<Entry> &entry, const RunId &run, int attempt)
 {
     const auto order = entry->executor.stop(run);
-    if (!order || attempt >= MaxStopAttempts || entry->isRemoved) {
+    if (!order || entry->isRemoved) {
         entry->stopping.erase(run);
         return;
     }
@@ -373,7 +375,7 @@
     if (attempt > 0)
         m_metrics.runDecided("stopRepeated");
     m_calls.stop(entry->executor.registration(), *order, [](bool) {});
-    m_timers.after(StopRetryDelay,
+    m_timers.after(attempt < StopsBeforeBackoff ? StopRetryDelay : StopBackoff,
                    [this, entry, run, attempt] { sendStop(entry, run, attempt + 1); });
 }
 
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace anvilmill {
 
@@ -68,7 +69,16 @@
 
 bool HeldExecutor::mayStart() const noexcept
 {
-    return m_isHeld && m_isVerified && !m_registration.isDraining && m_inheritedRuns == 0;
+    return m_isHeld && m_isVerified && !m_registration.isDraining && !hasUnwantedRuns();
+}
+
+bool HeldExecutor::hasUnwantedRuns() const noexcept
+{
+    const MonotonicTime overdue = m_clock.now() - m_settings.stopGrace;
+    return m_inheritedRuns > 0
+           || std::any_of(m_runs.begin(), m_runs.end(), [overdue](const auto &entry) {
+                  return entry.second.stopRequested && *entry.second.stopRequested <= overdue;
+              });
 }
 
 Resources HeldExecutor::freeCapacity() const noexcept
@@ -102,7 +112,7 @@
 {
     if (!demand.fitsInto(freeCapacity()) || !mayStart() || m_runs.count(run) > 0)
         return std::nullopt;
-    m_runs.emplace(run, Run{RunState::Starting, demand, m_fences.current(), {}});
+    m_runs.emplace(run, Run{RunState::Starting, demand, m_fences.current(), {}, {}});
     m_used += demand;
     m_leaseRequested = m_clock.now();
     return StartOrder{run, m_fences.current(), leaseUntil()};
@@ -150,7 +160,7 @@
 
 void HeldExecutor::adopt(const RunId &run, const Resources &demand)
 {
-    const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Unconfirmed, demand, 0, {}});
+    const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Unconfirmed, demand, 0, {}, {}});
     if (isNew) {
         m_used += demand;
         return;
@@ -165,8 +175,11 @@
 
 std::optional<StopOrder> HeldExecutor::stop(const RunId &run)
 {
-    if (!m_isHeld || m_runs.count(run) == 0)
+    const auto found = m_runs.find(run);
+    if (!m_isHeld || found == m_runs.end())
         return std::nullopt;
+    if (!found->second.stopRequested)
+        found->second.stopRequested = m_clock.now();
     return StopOrder{run, m_fences.current()};
 }
 
@@ -177,9 +190,12 @@
     order.acknowledgedThrough = m_acknowledgedThrough;
     // The lease of an executor that doesn't answer is not renewed, so that its runs end within a
     // known time.
-    if (m_isVerified)
+    const bool isRenewed = m_isVerified && !hasUnwantedRuns();
+    if (isRenewed)
         order.leaseUntil = leaseUntil();
-    order.wait = !m_isVerified || hasUnconfirmedStarts() ? Duration{} : intervals.wait;
+    if (m_isVerified && !hasUnconfirmedStarts())
+        order.wait =
+                isRenewed ? intervals.wait : std::min(intervals.wait, m_settings.unwantedRunWait);
     order.answerTimeout = intervals.answerTimeout;
     order.sent = m_clock.now();
     if (order.leaseUntil)
@@ -200,7 +216,9 @@
     std::vector<RunEnd> ended;
     if (!m_isHeld)
         return ended;
-    m_hasFenceBeenSeen = true;
+    // Until it saw this holder's fence, the executor obeyed an earlier holder.
+    if (!std::exchange(m_hasFenceBeenSeen, true))
+        m_leaseRequested = std::max(m_leaseRequested, m_clock.now());
     m_hasClosedConnection = false;
     if (report.incarnation < m_incarnation)
         return ended;
@@ -278,7 +296,7 @@
         // The executor's clock doesn't order two answers that were written in the same millisecond.
         if (hasEnded(run))
             continue;
-        const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Inherited, {}, 0, {}});
+        const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Inherited, {}, 0, {}, {}});
         if (isNew) {
             ++m_inheritedRuns;
             entry->second.confirmed = m_clock.now();
--- a/tests/fakes/loopexecutors.h
+++ b/tests/fakes/loopexecutors.h
@@ -34,6 +34,9 @@
     /// The next \p count starts take no effect and get no answer.
     void dropStarts(int count) { m_startsToDrop = count; }
 
+    /// From now on, stops take no effect and get no answer.
+    void dropStops() { m_dropsStops = true; }
+
     /// Sets the longest time for which a hold waits, regardless of its order.
     void setLongestHold(Duration longest) { m_longestHold = longest; }
 
@@ -61,6 +64,8 @@
     void stop(const ExecutorRegistration &registration, const StopOrder &order,
               std::function<void(bool)> handler) override
     {
+        if (m_dropsStops)
+            return;
         executor(registration.id).stop(order);
         m_timers.post([handler = std::move(handler)] { handler(true); });
     }
@@ -91,6 +96,7 @@
     Duration m_longestHold = std::chrono::milliseconds(10);
     int m_startsToDrop = 0;
     int m_starts = 0;
+    bool m_dropsStops = false;
 };
 
 } // namespace anvilmill::tests
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -16,6 +16,8 @@
 const Resources Capacity{32000, 65536, 0};
 const Resources Task{14000, 64, 0};
 const HoldIntervals Intervals = HoldSettings().holdIntervals;
+/// By the clock of the slowest executor, with a margin for the interval of the holds.
+constexpr Duration LongestLease = milliseconds(1100);
 
 RunId runOf(const std::string &task, std::uint64_t number = 1)
 {
@@ -38,6 +40,11 @@
     CPPUNIT_TEST(startRejectedByAHigherFenceNeverRan);
     CPPUNIT_TEST(inheritedRunsBlockStartsAndBecomeOrphans);
     CPPUNIT_TEST(claimedInheritedRunUsesItsDemand);
+    CPPUNIT_TEST(unclaimedRunIsNotKeptAliveByTheNextHolder);
+    CPPUNIT_TEST(claimedRunIsKeptAliveByTheNextHolder);
+    CPPUNIT_TEST(runWhoseStopsAreLostIsNotKeptAlive);
+    CPPUNIT_TEST(stoppedRunDoesNotEndTheLeaseOfOthers);
+    CPPUNIT_TEST(lapseIsCountedFromTheFirstAnswerToTheNextHolder);
     CPPUNIT_TEST(claimedRunThatTheExecutorLacksNeverRan);
     CPPUNIT_TEST(answerOlderThanAStartDoesNotCoverIt);
     CPPUNIT_TEST(restartUnderTheSameIdLosesTheRuns);
@@ -204,6 +211,62 @@
         CPPUNIT_ASSERT(other->orphans().empty());
     }
 
+    // An owner that doesn't know the next holder takes a run as lapsed when the former one can't
+    // renew the lease any more.
+    void unclaimedRunIsNotKeptAliveByTheNextHolder()
+    {
+        start("a");
+        const auto next = makeHeld();
+        next->acquire(6);
+        holdFor(*next, LongestLease);
+        CPPUNIT_ASSERT(!m_executor->runs(runOf("a")));
+    }
+
+    void claimedRunIsKeptAliveByTheNextHolder()
+    {
+        start("a");
+        const auto next = makeHeld();
+        next->acquire(6);
+        hold(*next);
+        next->adopt(runOf("a"), Task);
+        holdFor(*next, 2 * LongestLease);
+        CPPUNIT_ASSERT(m_executor->runs(runOf("a")));
+    }
+
+    // Its task may run elsewhere 1.3 s after the job ended on its host.
+    void runWhoseStopsAreLostIsNotKeptAlive()
+    {
+        start("a");
+        CPPUNIT_ASSERT(m_held->stop(runOf("a")));
+        holdFor(*m_held, HoldSettings().stopGrace);
+        CPPUNIT_ASSERT(!m_held->start(runOf("b"), Task));
+        holdFor(*m_held, LongestLease);
+        CPPUNIT_ASSERT(!m_executor->runs(runOf("a")));
+        CPPUNIT_ASSERT(m_held->start(runOf("b"), Task));
+    }
+
+    void stoppedRunDoesNotEndTheLeaseOfOthers()
+    {
+        start("a");
+        start("b");
+        m_executor->stop(*m_held->stop(runOf("a")));
+        holdFor(*m_held, 2 * LongestLease);
+        CPPUNIT_ASSERT(m_executor->runs(runOf("b")));
+    }
+
+    // The former holder may have renewed the lease up to then.
+    void lapseIsCountedFromTheFirstAnswerToTheNextHolder()
+    {
+        start("a");
+        const auto next = makeHeld();
+        next->acquire(6);
+        holdFor(*m_held, 2 * LongestLease);
+        hold(*next);
+        m_clock->advance(milliseconds(100));
+        CPPUNIT_ASSERT(next->holdUnanswered().empty());
+        CPPUNIT_ASSERT(m_executor->runs(runOf("a")));
+    }
+
     void claimedRunThatTheExecutorLacksNeverRan()
     {
         const auto other = makeHeld();
@@ -558,6 +621,15 @@
         return held.holdAnswered(order, *report);
     }
 
+    /// Sends a hold every 50 ms.
+    void holdFor(HeldExecutor &held, Duration time)
+    {
+        for (Duration passed{}; passed < time; passed += milliseconds(50)) {
+            hold(held);
+            m_clock->advance(milliseconds(50));
+        }
+    }
+
     void start(const std::string &task)
     {
         const auto order = m_held->start(runOf(task), Task);
