Raise the fence after a hold without an answer

Cause: a start without an answer raises the fence, which voids it; a hold didn't, though both renew the lease.

Change: each hold that asked for a lease and got no answer raises the fence, the second one in flight too.

Failed before: HeldExecutorTest::holdWithoutAnswerRenewsNoLeaseLater.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -192,6 +192,10 @@
     /// another holder's rather than one that this holder raised itself.
     bool holdFenced(const HoldOrder &order) noexcept;
 
+    /// \brief Raises the fence, so that \p order, which got no answer, renews no lease once the executor
+    /// has received a later order. Call for each hold without an answer.
+    void invalidateHold(const HoldOrder &order) noexcept;
+
     /// \brief Handles a hold without an answer; returns the runs whose lease has certainly expired.
     ///
     /// Returns none before a hold of this holder was answered, since an earlier holder that still
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -169,6 +169,7 @@
         }
         entry->isUnresponsive = true;
         m_lossTracker.lost(executor.registration().id);
+        executor.invalidateHold(order);
         reportEnds(entry, executor.holdUnanswered(reply.isClosedByExecutor));
         scheduleHold(entry, m_lossTracker.intervals().retryDelay);
         break;
@@ -235,6 +236,8 @@
                      if (reply.kind == HoldReply::Kind::Answered) {
                          applyReport(entry, order, reply.report);
                          markCapacityChanged(*entry);
+                     } else if (reply.kind == HoldReply::Kind::Unanswered) {
+                         entry->executor.invalidateHold(order);
                      }
                      m_timers.after(m_lossTracker.intervals().retryDelay,
                                     [this, entry] { sendSecondHold(entry); });
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -353,6 +353,12 @@
     return true;
 }
 
+void HeldExecutor::invalidateHold(const HoldOrder &order) noexcept
+{
+    if (order.leaseUntil && order.fence == m_fences.current())
+        m_fences.raise();
+}
+
 std::vector<RunEnd> HeldExecutor::holdUnanswered(bool isClosedByExecutor)
 {
     m_isVerified = false;
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST(answerOlderThanAStartDoesNotCoverIt);
     CPPUNIT_TEST(restartUnderTheSameIdLosesTheRuns);
     CPPUNIT_TEST(unresponsiveExecutorGetsNoLeaseAndItsRunsLapse);
+    CPPUNIT_TEST(holdWithoutAnswerRenewsNoLeaseLater);
+    CPPUNIT_TEST(unansweredHoldsWithoutLeaseKeepTheFence);
     CPPUNIT_TEST(holderThatNeverReachedTheExecutorReportsNoLapsedRuns);
     CPPUNIT_TEST(onlyAHoldSentAfterASuspensionVerifiesTheLease);
     CPPUNIT_TEST(startWithAnOldRunNumberIsSuperseded);
@@ -321,6 +323,31 @@
         CPPUNIT_ASSERT(!ends.front().hasExecutorCrashed);
     }
 
+    // Executors may carry out a hold seconds after it was sent, and count the time of its lease from
+    // then on.
+    void holdWithoutAnswerRenewsNoLeaseLater()
+    {
+        start("a");
+        HoldOrder late = m_held->nextHold(Intervals);
+        m_clock->advance(milliseconds(650));
+        m_held->invalidateHold(late);
+        CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
+        hold(*m_held);
+        CPPUNIT_ASSERT(!m_executor->hold(late));
+    }
+
+    // The fence has few bits for this, and a long partition loses many holds.
+    void unansweredHoldsWithoutLeaseKeepTheFence()
+    {
+        m_held->invalidateHold(m_held->nextHold(Intervals));
+        CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
+        const Fence raised = m_held->fence();
+        const HoldOrder order = m_held->nextHold(Intervals);
+        CPPUNIT_ASSERT(!order.leaseUntil);
+        m_held->invalidateHold(order);
+        CPPUNIT_ASSERT_EQUAL(raised, m_held->fence());
+    }
+
     // Failure on lumenfold-mill trouble-3: the executor's data centre was disconnected and its
     // holder there kept renewing the lease, while the next holder, in another data centre, reported
     // the run as lapsed.
