Stop a claimed run at its former holder as well

What callers may see: a cancelled job's tasks work on, and run twice once its client submits it again.

Cause: hosts read a change of holders at different times. A stop went to the new holder alone, which didn't hold the executor yet, while the former one went on renewing the lease.

Change: the host remembers the holder before the claim and sends stops to both.

Failed before: BatchHostsTest::cancelledRunEndsBeforeItsNextHolderReadsTheMembership (never ends).

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -241,18 +241,24 @@
     const auto placed = m_placed.find(run);
     if (placed == m_placed.end())
         return;
-    const std::string holder = placed->second.holder;
-    const std::string &id = m_view.idOf(executor);
+    const Placed stopped = placed->second;
     m_placed.erase(placed);
+    stopAt(stopped.holder, m_view.idOf(executor), run);
+    if (!stopped.formerHolder.empty())
+        stopAt(stopped.formerHolder, m_view.idOf(executor), run);
+}
+
+void BatchHost::stopAt(const std::string &holder, const std::string &executor, const RunId &run)
+{
     if (holder == m_settings.name) {
-        m_holder.stop(id, run);
+        m_holder.stop(executor, run);
         return;
     }
     Frame *const frame = m_mesh.frameFor(holder);
     if (!frame)
         return;
     MeshRun message;
-    message.executor = id;
+    message.executor = executor;
     setRun(message, run);
     append(frame->stops, std::move(message));
 }
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -130,6 +130,7 @@
 
     void startTask(const TaskStart &start) override;
     void stopTask(std::size_t executor, const RunId &run) override;
+    void stopAt(const std::string &holder, const std::string &executor, const RunId &run);
     void jobEnded(JobNumber job, const BatchResult &result) override;
 
     std::optional<JobNumber> schedule(JobNumber number, BatchJob job, ResultHandler handler);
--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(runsOfALostHolderContinueUnderTheNextHolder);
     CPPUNIT_TEST(executorsChangeHolderDuringRunningJobs);
     CPPUNIT_TEST(taskRunsOnceWhileItsFormerHolderIsPartitionedFromTheExecutor);
+    CPPUNIT_TEST(cancelledRunWhoseStopsAreLostEnds);
+    CPPUNIT_TEST(cancelledRunEndsBeforeItsNextHolderReadsTheMembership);
     CPPUNIT_TEST(claimBeforeTheLeaseTransferTakesEffectLater);
     CPPUNIT_TEST(endsOfSubmissionsToTwoHostsAreKeptApart);
     CPPUNIT_TEST(claimIsNotAnsweredWithTheEndOfAnEarlierSubmission);
@@ -168,6 +170,29 @@
         CPPUNIT_ASSERT(m_metrics.asText().find("{decision=\"endIgnored\"}") != std::string::npos);
     }
 
+    // The client may submit the job again to another host, which doesn't know the runs.
+    void cancelledRunWhoseStopsAreLostEnds()
+    {
+        m_executors->setRunTime(seconds(60));
+        m_executors->dropStops();
+        const auto number = submit(*m_a, "job", 8, MaxWait);
+        waitFor([&] { return runningTasks("job", 8) == 8; });
+        m_a->cancel(*number);
+        waitFor([&] { return runningTasks("job", 8) == 0; });
+    }
+
+    // Host a has read that it holds the executors of b, which goes on holding them.
+    void cancelledRunEndsBeforeItsNextHolderReadsTheMembership()
+    {
+        m_executors->setRunTime(seconds(60));
+        const auto number = submit(*m_a, "job", 8, MaxWait);
+        waitFor([&] { return runningTasks("job", 8) == 8; });
+        m_executorsOfA->partition();
+        m_a->setMembership(membershipOf(2, false, false));
+        m_a->cancel(*number);
+        waitFor([&] { return runningTasks("job", 8) == 0; });
+    }
+
     // A client may resubmit a job to another host while the first host still processes it. The runs
     // of both submissions have the same ids.
     void endsOfSubmissionsToTwoHostsAreKeptApart()
