--- a/tests/system/fleet/test_executoranswers.cpp
+++ b/tests/system/fleet/test_executoranswers.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST_SUITE(ExecutorAnswersTest);
     CPPUNIT_TEST(rejectionWithoutReasonIsRefused);
     CPPUNIT_TEST(rejectionReasonsAreDistinguished);
+    CPPUNIT_TEST(serverErrorLeavesTheOutcomeOfAStartUnknown);
     CPPUNIT_TEST(malformedHoldReplyIsUnanswered);
     CPPUNIT_TEST(deeplyNestedHoldReplyIsUnanswered);
     CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,15 @@
         CPPUNIT_ASSERT(start(200, "") == StartAnswer::Started);
     }
 
+    // The executor or a proxy before it may have failed after the run was started.
+    void serverErrorLeavesTheOutcomeOfAStartUnknown()
+    {
+        for (const unsigned status : {500U, 502U, 504U})
+            CPPUNIT_ASSERT(!replyTo(status, ""));
+        for (const unsigned status : {400U, 421U, 429U, 503U})
+            CPPUNIT_ASSERT(start(status, "") == StartAnswer::Refused);
+    }
+
     // The lists of runs were copied by recursion: 400,000 levels ended the process.
     void deeplyNestedHoldReplyIsUnanswered()
     {
@@ -94,6 +104,13 @@
 
 private:
     StartAnswer start(unsigned status, const std::string &body)
+    {
+        const StartReply reply = replyTo(status, body);
+        CPPUNIT_ASSERT(reply.has_value());
+        return *reply;
+    }
+
+    StartReply replyTo(unsigned status, const std::string &body)
     {
         m_status = status;
         m_body = body;
@@ -101,8 +118,7 @@
         m_executors->start(m_registration, {{"job.0.0.0", 1}, 7, std::nullopt}, "spec",
                            [&](StartReply answer) { reply = answer; });
         waitFor([&] { return reply.has_value(); });
-        CPPUNIT_ASSERT(reply->has_value());
-        return **reply;
+        return *reply;
     }
 
     HoldReply::Kind hold(const std::string &body)
