Continue an executor's fences after its entry was away

What callers saw: less capacity. An executor whose entry goes and comes back under the same membership wasn't used until the next change of hosts.

Cause: the record of the executor was dropped with its entry, and the new one began at the fence of the membership, below those that the former had raised it to; the first hold was fenced and the executor released.

Change: the last fence is kept by executor, 10,000 at most, and the new record continues from it. A record that is replaced since the address changed sends no more holds.

Failed before: BatchHostsTest::executorWhoseEntryReturnsIsUsedAgain, with continueFences() left out.

--- a/include/anvilmill/executor/fence.h
+++ b/include/anvilmill/executor/fence.h
@@ -2,6 +2,7 @@
 
 #include "anvilmill/platform/keyvaluestore.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace anvilmill {
@@ -27,6 +28,9 @@
     /// \brief Raises the fence of the same holder, which invalidates orders under the current one.
     Fence raise() noexcept;
 
+    /// \brief Makes later fences higher than \p last.
+    void continueAfter(Fence last) noexcept { m_current = std::max(m_current, last); }
+
     [[nodiscard]] Fence current() const noexcept { return m_current; }
 
 private:
--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -122,6 +122,10 @@
     /// \brief Applies a changed registration.
     void update(const ExecutorRegistration &registration);
 
+    /// \brief Makes later fences higher than \p last, the last one of an earlier record of the same
+    /// executor. Call before acquire().
+    void continueFences(Fence last) noexcept { m_fences.continueAfter(last); }
+
     /// \brief Makes this host the holder under \p membership; no run is started until a hold is
     /// answered.
     void acquire(StoreVersion membership);
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -19,6 +19,9 @@
 /// The run has ended by then unless the executor can't be reached.
 constexpr int StopsBeforeBackoff = 8;
 constexpr Duration StopBackoff = std::chrono::seconds(2);
+/// Executors that were removed, whose fences are kept in case that they return: a day's, with a
+/// margin.
+constexpr std::size_t MaxRetainedFences = 10000;
 /// The runs of an executor that are concluded to have ended, with a margin.
 constexpr std::size_t MaxInferredEnds = 64;
 
@@ -65,13 +68,27 @@
 {
     auto &entry = m_entries[registration.id];
     if (!entry || entry->executor.registration().address != registration.address)
-        entry = std::make_shared<Entry>(m_clock, m_settings, registration);
+        replaceEntry(entry, registration);
     entry->executor.update(registration);
     assignOne(entry);
     markCapacityChanged(*entry);
     hold(entry);
 }
 
+/// The new record continues the fences of the former one, whose orders may still be in transit.
+void HolderService::replaceEntry(std::shared_ptr<Entry> &entry,
+                                 const ExecutorRegistration &registration)
+{
+    const auto retained = m_retainedFences.find(registration.id);
+    const Fence seen = entry                                ? entry->executor.fence()
+                       : retained == m_retainedFences.end() ? Fence{}
+                                                            : retained->second;
+    if (entry)
+        entry->isRemoved = true;
+    entry = std::make_shared<Entry>(m_clock, m_settings, registration);
+    entry->executor.continueFences(seen);
+}
+
 void HolderService::remove(const std::string &executor)
 {
     const auto found = m_entries.find(executor);
@@ -79,6 +96,9 @@
         return;
     const auto entry = found->second;
     entry->isRemoved = true;
+    if (m_retainedFences.size() >= MaxRetainedFences)
+        m_retainedFences.erase(m_retainedFences.begin());
+    m_retainedFences[executor] = entry->executor.fence();
     m_entries.erase(found);
     m_assigned.erase(executor);
     m_calls.disconnect(executor);
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -76,6 +76,7 @@
 private:
     struct Entry;
 
+    void replaceEntry(std::shared_ptr<Entry> &entry, const ExecutorRegistration &registration);
     void assignOne(const std::shared_ptr<Entry> &assigned);
     void hold(const std::shared_ptr<Entry> &entry);
     void holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
@@ -103,6 +104,8 @@
     LossTracker m_lossTracker;
     HolderEvents m_events;
     std::map<std::string, std::shared_ptr<Entry>> m_entries;
+    /// The last fences of removed executors.
+    std::map<std::string, Fence> m_retainedFences;
     /// The entries that are assigned to this host. It holds those that are not fenced.
     std::map<std::string, std::shared_ptr<Entry>> m_assigned;
     HolderAssignment m_assignment;
--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(claimIsNotAnsweredWithTheEndOfAnEarlierSubmission);
     CPPUNIT_TEST(hostThatIsNoLongerListedIsServed);
     CPPUNIT_TEST(unansweredStartsAreSentToOtherExecutors);
+    CPPUNIT_TEST(executorWhoseEntryReturnsIsUsedAgain);
     CPPUNIT_TEST(noRunIsStartedRightAfterAStall);
     CPPUNIT_TEST_SUITE_END();
 
@@ -282,7 +283,35 @@
         CPPUNIT_ASSERT_EQUAL(8, m_executors->starts());
     }
 
+    // The fences of its holder have been raised by unanswered starts before.
+    void executorWhoseEntryReturnsIsUsedAgain()
+    {
+        m_executors->dropStarts(8);
+        submit(*m_a, "first", 8, MaxWait);
+        waitFor([&] { return m_results.count("first") > 0; });
+        for (BatchHost *const host : {m_a.get(), m_b.get()}) {
+            for (const char *const id : {"e1", "e2", "e3", "e4"}) {
+                host->removeExecutor(id);
+                host->updateExecutor(registrationOf(id));
+            }
+        }
+        runFor(milliseconds(300));
+        m_executors->setRunTime(seconds(60));
+        submit(*m_a, "job", 8, MaxWait);
+        waitFor([&] { return m_a->heldRuns() + m_b->heldRuns() == 8; });
+    }
+
 private:
+    [[nodiscard]] static ExecutorRegistration registrationOf(const std::string &id)
+    {
+        ExecutorRegistration registration;
+        registration.id = id;
+        registration.service = "desk";
+        registration.dataCentre = "dc";
+        registration.capacity = Capacity;
+        return registration;
+    }
+
     [[nodiscard]] std::unique_ptr<BatchHost> makeHost(const std::string &name,
                                                       const boost::asio::ip::tcp::endpoint &address)
     {
@@ -296,12 +325,7 @@
         for (const std::string id : {"e1", "e2", "e3", "e4"}) {
             if (name == "a")
                 m_executors->add(id, Capacity);
-            ExecutorRegistration registration;
-            registration.id = id;
-            registration.service = "desk";
-            registration.dataCentre = "dc";
-            registration.capacity = Capacity;
-            host->updateExecutor(registration);
+            host->updateExecutor(registrationOf(id));
         }
         return host;
     }
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(outdatedAnswerDoesNotRestoreAnEndedRun);
     CPPUNIT_TEST(answerOfTheSameMillisecondDoesNotRestoreAnEndedRun);
     CPPUNIT_TEST(answerOfAnEarlierProcessIsIgnored);
+    CPPUNIT_TEST(recordOfAReturnedExecutorContinuesItsFences);
     CPPUNIT_TEST(unansweredStartIsResolvedWhileAHoldWaits);
     CPPUNIT_TEST(executorThatFailsEverythingGetsFewProbes);
     CPPUNIT_TEST(recoveredExecutorIsUsedWithinTheLongestBackoff);
@@ -424,6 +425,19 @@
         CPPUNIT_ASSERT(m_held->mayStart());
     }
 
+    // The executor's entry may be away for a while and come back with the executor itself.
+    void recordOfAReturnedExecutorContinuesItsFences()
+    {
+        const auto order = m_held->start(runOf("a"), Task);
+        m_held->startUnanswered(*order);
+        hold(*m_held);
+        const auto returned = makeHeld();
+        returned->continueFences(m_held->fence());
+        returned->acquire(5);
+        hold(*returned);
+        CPPUNIT_ASSERT(returned->mayStart());
+    }
+
     void unansweredStartIsResolvedWhileAHoldWaits()
     {
         const HoldOrder waiting = m_held->nextHold(Intervals);
