Notice an executor's restart after its time of day was set back

What callers may see: jobs that wait for runs that are gone, until their deadline.

Cause: an answer with a lower incarnation counted as one of an earlier process.

Change: an answer with a lower incarnation counts if the executor's registration has it too.

Failed before: HeldExecutorTest::restartAfterTheClockWasSetBackIsNoticed, with the new condition left out.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -249,6 +249,7 @@
     void recordOutcome(const RunEnd &end);
     void rememberEnd(const RunId &run);
     [[nodiscard]] bool hasEnded(const RunId &run) const;
+    [[nodiscard]] bool isOfEarlierProcess(const HoldReport &report) const noexcept;
     void recordIncarnation(const HoldReport &report);
     void applyEnds(const HoldReport &report, std::vector<RunEnd> &ended);
     void applyActive(const HoldReport &report);
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -220,7 +220,7 @@
     if (!std::exchange(m_hasFenceBeenSeen, true))
         m_leaseRequested = std::max(m_leaseRequested, m_clock.now());
     m_hasClosedConnection = false;
-    if (report.incarnation < m_incarnation)
+    if (isOfEarlierProcess(report))
         return ended;
     const bool isOutdated = report.incarnation == m_incarnation && m_executorClock
                             && report.clock < *m_executorClock;
@@ -241,6 +241,13 @@
     return ended;
 }
 
+// Incarnations are times of day, which may be set back before an executor restarts. Its registration
+// tells such a process from one whose answer arrives late.
+bool HeldExecutor::isOfEarlierProcess(const HoldReport &report) const noexcept
+{
+    return report.incarnation < m_incarnation && report.incarnation != m_registration.incarnation;
+}
+
 void HeldExecutor::recordIncarnation(const HoldReport &report)
 {
     if (report.incarnation == m_incarnation)
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(outdatedAnswerDoesNotRestoreAnEndedRun);
     CPPUNIT_TEST(answerOfTheSameMillisecondDoesNotRestoreAnEndedRun);
     CPPUNIT_TEST(answerOfAnEarlierProcessIsIgnored);
+    CPPUNIT_TEST(restartAfterTheClockWasSetBackIsNoticed);
     CPPUNIT_TEST(recordOfAReturnedExecutorContinuesItsFences);
     CPPUNIT_TEST(unansweredStartIsResolvedWhileAHoldWaits);
     CPPUNIT_TEST(executorThatFailsEverythingGetsFewProbes);
@@ -425,6 +426,23 @@
         CPPUNIT_ASSERT(m_held->mayStart());
     }
 
+    void restartAfterTheClockWasSetBackIsNoticed()
+    {
+        start("a");
+        m_clock->advance(milliseconds(10));
+        const HoldOrder order = m_held->nextHold(Intervals);
+        const HoldReport before{ExecutorTime(50), 100, {runOf("a")}, {}};
+        CPPUNIT_ASSERT(m_held->holdAnswered(order, before).empty());
+        const HoldReport report{ExecutorTime(5), 50, {}, {}};
+        CPPUNIT_ASSERT(m_held->holdAnswered(order, report).empty());
+        ExecutorRegistration registration = m_held->registration();
+        registration.incarnation = report.incarnation;
+        m_held->update(registration);
+        const auto ends = m_held->holdAnswered(order, report);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::Lost);
+    }
+
     // The executor's entry may be away for a while and come back with the executor itself.
     void recordOfAReturnedExecutorContinuesItsFences()
     {
