Fault soak: delay orders of every kind

Cause: users' executors leave starts, stops and holds without an answer and carry them out late; the lease of a late hold may count from then on. The soak's stand-in delayed starts only, so no soak tried late holds and stops.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -4,7 +4,7 @@
 Runs several entry hosts as processes against the platform stand-in. Signals stop, kill, pause and
 restart them, and reload their settings. A relay delays and resets their connections to the store,
 loses their calls, and blocks them in one or both directions. The stand-in restarts executors, drops their answers and
-delays starts. It counts violations of the invariants: no executor exceeds its capacity, no task
+carries out starts, stops and holds seconds late. It counts violations of the invariants: no executor exceeds its capacity, no task
 runs twice at the same time, and none is started on an executor that left long ago. After the faults and a recovery time, jobs must be served again. Each
 seed determines one schedule of faults; the logs of a failed seed are kept.
 
