Membership test: wait for the first host's own view

It expects the views of 1, 3, 2 and 3 hosts at least, but on a busy machine the first host's first view may have all three members already. The test didn't wait for the view of 1 host; now it does, and the expectation of 4 changes stays.

The product isn't changed.

--- a/tests/system/peer/test_membershipservice.cpp
+++ b/tests/system/peer/test_membershipservice.cpp
@@ -82,6 +82,8 @@
     void hostsAgreeOnViewAndReplaceFailedHost()
     {
         const EntryHost first("bole", "a", m_platform.address());
+        // On a busy machine, the others may otherwise be members of its first view already.
+        CPPUNIT_ASSERT(eventually([&] { return first.isOwnerInViewOf(1); }));
         const EntryHost second("bole", "b", m_platform.address(), {first.asSeed()});
         {
             const EntryHost third("bole", "c", m_platform.address(), {first.asSeed()});
