--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../run_case.sh" "$(dirname "$0")" frozen-host 12 2 48 "${1:-1}"
