--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -20,7 +20,12 @@
 pids=()
 # shellcheck disable=SC2329
 cleanup() {
-    for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+    touch "$folder/ended"
+    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+    for pid in $(cat "$folder"/host*.pid 2>/dev/null); do
+        kill -CONT "$pid" 2>/dev/null
+        kill -KILL "$pid" 2>/dev/null
+    done
     wait 2>/dev/null
     rm -rf "$folder"
 }
@@ -64,15 +69,24 @@
 platform.history_s=20
 CONF
 done
-timeout 115 target/review_standin --scenario "$scenario" --network "$network" --hosts "$hosts" --zones "$zones" \
-    --executors "$executors" --seed "$seed" --trouble "${TROUBLE:-1}" --processes "$folder/processes" --logs "$folder" --record "$case_folder/record.txt" &
+target/review_standin --scenario "$scenario" --network "$network" --hosts "$hosts" --zones "$zones" \
+    --executors "$executors" --seed "$seed" --trouble "${TROUBLE:-1}" --logs "$folder" --record "$case_folder/record.txt" &
 standin=$!
 pids+=("$standin")
 sleep 0.3
+mkfifo "$folder/pause"
+# Like the platform, starts a host that was killed again after some seconds.
+run_host() {
+    while [ ! -e "$folder/ended" ]; do
+        ANVILMILL_NODE_FILE=$folder/host$1.conf target/anvilmill machine >>"$folder/host$1.log" 2>&1 &
+        echo "$!" >"$folder/host$1.pid"
+        wait "$!"
+        read -rt 3.5 <>"$folder/pause"
+    done
+}
 for ((i = 0; i < hosts; i++)); do
-    ANVILMILL_NODE_FILE=$folder/host$i.conf target/anvilmill machine >"$folder/host$i.log" 2>&1 &
+    run_host "$i" &
     pids+=("$!")
-    echo "$!" >>"$folder/processes"
 done
 wait "$standin"
 code=$?
