--- a/review/standin/scenarios.h
+++ b/review/standin/scenarios.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -59,6 +60,13 @@
     /// \brief The cancelling of the job was acknowledged now.
     void cancelled(const std::string &job);
 
+    /// \brief A frozen host goes on now.
+    void thawed() { m_thawed = m_clock.now(); }
+
+    /// \brief Counts a task that runs twice only if its second run starts within \p window after a
+    /// frozen host has gone on; the others are recorded.
+    void countAfterThawOnly(Duration window) { m_window = window; }
+
     [[nodiscard]] std::size_t startsOf(const std::string &job) const;
     [[nodiscard]] std::size_t violations() const { return m_violations; }
 
@@ -73,6 +81,8 @@
     std::map<std::string, MonotonicTime> m_cancelled;
     std::map<std::string, std::size_t> m_starts;
     std::size_t m_violations = 0;
+    MonotonicTime m_thawed;
+    std::optional<Duration> m_window;
 };
 
 /// \brief What a scenario works with.
