--- a/review/standin/scenarios.cpp
+++ b/review/standin/scenarios.cpp
@@ -522,6 +522,48 @@
 private:
     static constexpr Duration Wait = std::chrono::milliseconds(1500);
     static constexpr Duration FreezeTime = std::chrono::milliseconds(3500);
+    /// The usage cap of `limits.cpu_share`, 0.25, is applied to a host that goes on for this long;
+    /// at other times it uses far less.
+    static constexpr Duration CapTime = std::chrono::seconds(1);
+    static constexpr Duration CapPeriod = std::chrono::milliseconds(100);
+    static constexpr Duration CapShare = std::chrono::milliseconds(25);
+    static constexpr Duration CapCheck = std::chrono::milliseconds(1);
+
+    struct Cap
+    {
+        pid_t process = 0;
+        MonotonicTime end;
+        MonotonicTime period;
+        Duration usedBefore{};
+        bool isStopped = false;
+    };
+
+    /// Processor time that the process has used.
+    [[nodiscard]] static Duration usedBy(pid_t process)
+    {
+        std::ifstream file("/proc/" + std::to_string(process) + "/schedstat");
+        std::int64_t nanoseconds = 0;
+        file >> nanoseconds;
+        return std::chrono::nanoseconds(nanoseconds);
+    }
+
+    /// Stops a process that has used its share of a tenth of a second for the rest of it.
+    void applyCap(Cap cap)
+    {
+        const MonotonicTime now = m_context.clock.now();
+        const bool isOver = now >= cap.end;
+        if (isOver || now >= cap.period + CapPeriod) {
+            if (cap.isStopped)
+                ::kill(cap.process, SIGCONT);
+            cap = {cap.process, cap.end, now, usedBy(cap.process), false};
+        } else if (!cap.isStopped && usedBy(cap.process) - cap.usedBefore >= CapShare) {
+            cap.isStopped = true;
+            ::kill(cap.process, SIGSTOP);
+            m_context.record.line("capReached");
+        }
+        if (!isOver)
+            m_context.timers.after(CapCheck, [this, cap] { applyCap(cap); });
+    }
 
     /// The host that says last that it has taken the small service's executor over.
     [[nodiscard]] std::optional<std::size_t> holder() const
@@ -553,6 +595,8 @@
         m_context.timers.after(FreezeTime, [this, host = *host] {
             ::kill(processOf(host), SIGCONT);
             m_context.observer.thawed();
+            applyCap({processOf(host), m_context.clock.now() + CapTime, m_context.clock.now(),
+                      usedBy(processOf(host)), false});
             m_context.record.line("thaw host=" + m_context.clients.host(host).name);
         });
         return true;
