A request to a silent host doesn't count as its message

Its host was frozen for 3.5 s; its first run went on for up to 3.1 s on an executor that another host held, and the client had submitted the job again 1.3 s after its time limit.

Cause: a holder stops the runs of a host from which it has received nothing for 0.9 s. For each start that it requested from the frozen host itself, it recorded a message as received 450 ms ago, without any message. Starts are requested as long as the host's last capacity report counts as recent, for 2.5 s with more than 9 hosts.

Change: PeerLiveness keeps the time of the last message apart from that of the first request since. What a silent host has here is judged by its messages alone. Whether a host with rare heartbeats is redialled is judged by the later of both, and further requests don't extend that time.

Test: PeerLivenessTest::requestsToAFrozenHostDontCountAsItsMessages, in virtual time. With requestSent() recording a message 450 ms ago, as before, it failed (silence 450 ms instead of 900 ms).

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -204,8 +204,7 @@
         });
         return;
     }
-    // A host that sends heartbeats only once a second answers this request immediately.
-    m_peers.assumeReceived(holder, SilentAfter / 2);
+    m_peers.requestSent(holder);
     MeshStart message;
     message.executor = m_view.idOf(start.executor);
     setRun(message, start.run);
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -179,7 +179,7 @@
     for (const PeerHost &host : m_peers.neighbours()) {
         const bool isExpected = expected.count(host.name) > 0;
         const Duration limit = isExpected ? SilentAfter : FarSilentAfter;
-        if (host.name == m_settings.name || m_peers.silence(host.name) < limit)
+        if (host.name == m_settings.name || m_peers.unresponsiveness(host.name) < limit)
             continue;
         setWaiting(host.name, std::nullopt);
         if (m_peers.mayRedial(host.name))
--- a/src/daemon/batch/peerliveness.cpp
+++ b/src/daemon/batch/peerliveness.cpp
@@ -34,10 +34,15 @@
     }
 }
 
-void PeerLiveness::assumeReceived(const std::string &host, Duration age)
+void PeerLiveness::messageReceived(const std::string &host)
 {
-    MonotonicTime &received = m_lastReceived[host];
-    received = std::max(received, m_clock.now() - age);
+    m_lastReceived[host] = m_clock.now();
+    m_firstRequest.erase(host);
+}
+
+void PeerLiveness::requestSent(const std::string &host)
+{
+    m_firstRequest.emplace(host, m_clock.now());
 }
 
 MonotonicTime PeerLiveness::lastReceived(const std::string &host) const
@@ -51,6 +56,14 @@
     return m_clock.now() - lastReceived(host);
 }
 
+Duration PeerLiveness::unresponsiveness(const std::string &host) const
+{
+    const auto request = m_firstRequest.find(host);
+    const Duration silent = silence(host);
+    return request == m_firstRequest.end() ? silent
+                                           : std::min(silent, m_clock.now() - request->second);
+}
+
 std::vector<PeerHost> PeerLiveness::hostsToConnect() const
 {
     std::vector<PeerHost> hosts = m_neighbours;
--- a/src/daemon/batch/peerliveness.h
+++ b/src/daemon/batch/peerliveness.h
@@ -26,15 +26,25 @@
     [[nodiscard]] const std::vector<PeerHost> &neighbours() const noexcept { return m_neighbours; }
 
     /// \brief Records that a message from \p host was received now.
-    void messageReceived(const std::string &host) { m_lastReceived[host] = m_clock.now(); }
+    void messageReceived(const std::string &host);
 
-    /// \brief Counts the last message from \p host as at most \p age old.
-    void assumeReceived(const std::string &host, Duration age);
+    /// \brief Records that a request was sent to \p host, which answers it immediately.
+    ///
+    /// Only a message from the host shows that it is alive: further requests don't extend the time
+    /// that it has for the first one.
+    void requestSent(const std::string &host);
 
     /// \brief Time since the last message from \p host; very long if there was none.
     [[nodiscard]] Duration silence(const std::string &host) const;
     [[nodiscard]] MonotonicTime lastReceived(const std::string &host) const;
 
+    /// \brief Time since the last message from \p host or the first request that was sent to it after
+    /// that message, whichever is later.
+    ///
+    /// The silence of a host that sends heartbeats rarely doesn't count against it before it has been
+    /// sent a request.
+    [[nodiscard]] Duration unresponsiveness(const std::string &host) const;
+
     /// \brief The neighbours, recent former neighbours, and hosts that are no longer listed but
     /// still send messages: these may be disconnected only from the store, and still have clients.
     [[nodiscard]] std::vector<PeerHost> hostsToConnect() const;
@@ -53,6 +63,8 @@
     std::map<std::string, PeerHost> m_everNeighbours;
     std::map<std::string, MonotonicTime> m_lastNeighbour;
     std::map<std::string, MonotonicTime> m_lastReceived;
+    /// The first request to each host since its last message.
+    std::map<std::string, MonotonicTime> m_firstRequest;
     std::map<std::string, MonotonicTime> m_nextRedial;
 };
 
