Refuse requests that have waited in the sockets of a frozen host

A holder that woke from a freeze carried out start requests of up to 3.5 s ago, whose jobs had been given up and ran elsewhere.

Cause: a request told nothing of its age. A host that notices a stall refuses starts for 50 ms, by which time it was taken to have read what had waited. With more to read, or less of a processor, it hadn't. The same holds for jobs that a weak host has transferred, and for liveness: a message counted from the time at which it was read, so a slow holder kept the runs of a frozen host for longer by its own delay.

Change: frames carry the time at which they were sent, and return the receiver's own time as the sender has seen it (PeerClocks), so that a receiver knows the longest time for which a frame can have been under way, without any common clock. Log lines run.requestOutdated and job.relayOutdated, decision outdatedRequest.

Why this and not a longer pause: how long the reading takes isn't known, and a pause refuses new requests as well.

Evidence and tests: HostLossTest::startsThatWaitedAtAFrozenHolderAreNotCarriedOut, in virtual time, a holder that reads one event per millisecond after its freeze.

--- a/include/anvilmill/clock.h
+++ b/include/anvilmill/clock.h
@@ -22,6 +22,11 @@
 
     [[nodiscard]] virtual MonotonicTime now() const = 0;
     [[nodiscard]] virtual WallTime wallNow() const = 0;
+
+    /// \brief Time since the machine was started, including the time for which it was suspended.
+    ///
+    /// The same as now() for clocks that are never suspended.
+    [[nodiscard]] virtual Duration sinceBoot() const { return now().time_since_epoch(); }
 };
 
 /// \brief The clocks of the operating system.
@@ -30,6 +35,7 @@
 public:
     [[nodiscard]] MonotonicTime now() const override;
     [[nodiscard]] WallTime wallNow() const override;
+    [[nodiscard]] Duration sinceBoot() const override;
 };
 
 } // namespace anvilmill
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -3,8 +3,6 @@
 #include "batch/meshmessages.h"
 #include "log.h"
 
-#include <time.h>
-
 #include <algorithm>
 #include <set>
 
@@ -30,13 +28,6 @@
 /// Time to read the data that waits in the sockets, which takes a few iterations.
 constexpr Duration QuietAfterStall = std::chrono::milliseconds(50);
 
-Duration sinceBoot()
-{
-    timespec time{};
-    ::clock_gettime(CLOCK_BOOTTIME, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
 } // namespace
 
 BatchHost::BatchHost(boost::asio::io_context &loop, TimerQueue &timers, const Clock &clock,
@@ -333,19 +324,19 @@
 
 void BatchHost::checkForStalls()
 {
-    m_stallDetector.update(sinceBoot());
+    m_stallDetector.update(m_clock.sinceBoot());
     m_timers.after(StallCheckInterval, [this] { checkForStalls(); });
 }
 
 bool BatchHost::isInQuietPeriod()
 {
-    m_stallDetector.update(sinceBoot());
+    m_stallDetector.update(m_clock.sinceBoot());
     return m_stallDetector.isInQuietPeriod();
 }
 
 void BatchHost::checkSuspension()
 {
-    if (!m_suspension.wasSuspended(m_clock.now(), sinceBoot()))
+    if (!m_suspension.wasSuspended(m_clock.now(), m_clock.sinceBoot()))
         return;
     LogEvent("host.resumed", LogEvent::Level::Warning).with("runs", m_holder.runs());
     m_holder.invalidateLeases();
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -157,7 +157,7 @@
     void logLoad();
     void received(const Frame &frame);
     void handleReplies(const Frame &frame);
-    void handleStarts(const Frame &frame);
+    void handleStarts(const Frame &frame, bool isOutdated);
     void handleClaims(const Frame &frame);
     void handleClaim(const RunClaim &claim);
     void handleStops(const Frame &frame);
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -87,11 +87,16 @@
 void BatchHost::received(const Frame &frame)
 {
     checkSuspension();
-    m_peers.messageReceived(frame.host);
+    const auto age = m_mesh.ageOf(frame);
+    m_peers.messageReceived(frame.host, age.value_or(Duration{}));
+    const bool isOutdated = !age || *age > m_timeouts.maxRequestAge();
     if (m_frameListener)
         m_frameListener(frame);
     m_relay.received(frame);
-    m_relayed.received(frame);
+    if (isOutdated)
+        m_relayed.outdatedReceived(frame);
+    else
+        m_relayed.received(frame);
     if (frame.waiting)
         setWaiting(frame.host,
                    *frame.waiting > 0 ? std::make_optional(urgencyOf(frame)) : std::nullopt);
@@ -100,7 +105,7 @@
         m_view.report(report);
     handleClaims(frame);
     handleStops(frame);
-    handleStarts(frame);
+    handleStarts(frame, isOutdated);
     schedulePlacement();
 }
 
@@ -117,15 +122,25 @@
     }
 }
 
-void BatchHost::handleStarts(const Frame &frame)
+// The sender may have given up outdated requests, and its cancellations wait behind them or were lost
+// with the connection.
+void BatchHost::handleStarts(const Frame &frame, bool isOutdated)
 {
+    if (isOutdated && frame.starts) {
+        m_metrics.runDecided("outdatedRequest");
+        LogEvent("run.requestOutdated", LogEvent::Level::Warning)
+                .with("host", frame.host)
+                .with("age", m_mesh.ageOf(frame).value_or(Duration{}))
+                .with("limit", m_timeouts.maxRequestAge())
+                .with("starts", frame.starts->size());
+    }
     bool isAnyRefused = false;
     for (const MeshStart &start : frame.starts.value_or(std::vector<MeshStart>())) {
         const RunId run = runOf(start);
         const auto index = static_cast<std::size_t>(start.spec);
         const bool hasSpec = frame.specs && index < frame.specs->size();
         const bool isAccepted =
-                hasSpec && !isInQuietPeriod()
+                hasSpec && !isOutdated && !isInQuietPeriod()
                 && m_holder.start(start.executor, run, resourcesOf(start), (*frame.specs)[index]);
         if (isAccepted)
             m_runs.setOwner(run, frame.host, start.executor);
--- a/src/daemon/batch/mesh.cpp
+++ b/src/daemon/batch/mesh.cpp
@@ -1,6 +1,7 @@
 #include "mesh.h"
 
 #include "batch/framecodec.h"
+#include "batch/peerclocks.h"
 #include "log.h"
 #include "loop/httpclient.h"
 #include "loop/socketoptions.h"
@@ -57,6 +58,7 @@
     MeshEvents events;
     std::map<std::string, std::shared_ptr<Link>> links;
     std::set<std::shared_ptr<Inbound>> inbound;
+    PeerClocks clocks;
     bool isClosed = false;
 };
 
@@ -198,6 +200,7 @@
         std::swap(frame, m_frame);
         if (!m_isConnected)
             return;
+        m_state->clocks.stamp(frame, m_host, m_state->timers.sinceBoot());
         enqueue(encoded(frame));
     }
 
@@ -311,6 +314,7 @@
     void identified(const std::string &host)
     {
         m_host = host;
+        m_state->clocks.reset(host);
         const auto all = m_state->inbound;
         for (const auto &other : all) {
             if (other.get() != this && other->m_host == host)
@@ -332,6 +336,7 @@
         try {
             if (m_host.empty())
                 identified(frame->host);
+            m_state->clocks.received(*frame, m_state->timers.sinceBoot());
             m_state->events.received(*frame);
         } catch (const std::exception &exception) {
             refuse(exception.what());
@@ -368,6 +373,7 @@
                                             std::move(events),
                                             {},
                                             {},
+                                            {},
                                             false}))
 {
     m_state->acceptor.open(address.protocol());
@@ -436,7 +442,9 @@
 
 void Mesh::send(const MeshFrame &frame, const std::vector<std::string> &hosts)
 {
-    const EncodedFrame bytes = encoded(frame);
+    MeshFrame stamped = frame;
+    m_state->clocks.stampForAll(stamped, m_state->timers.sinceBoot());
+    const EncodedFrame bytes = encoded(stamped);
     for (const std::string &host : hosts) {
         const auto found = m_state->links.find(host);
         if (found != m_state->links.end())
@@ -457,6 +465,11 @@
     return found != m_state->links.end() && found->second->isConnected();
 }
 
+std::optional<Duration> Mesh::ageOf(const MeshFrame &frame) const
+{
+    return m_state->clocks.ageOf(frame, m_state->timers.sinceBoot());
+}
+
 std::vector<std::string> Mesh::connectedHosts() const
 {
     std::vector<std::string> hosts;
--- a/src/daemon/batch/mesh.h
+++ b/src/daemon/batch/mesh.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,10 @@
 
     [[nodiscard]] bool isConnected(const std::string &host) const;
 
+    /// \brief The longest time for which a received frame can have been under way, including the time
+    /// that it has waited in this host's sockets; std::nullopt if it can't be told.
+    [[nodiscard]] std::optional<Duration> ageOf(const wire::meshframe::MeshFrame &frame) const;
+
     /// \brief The hosts to which frames can be sent.
     [[nodiscard]] std::vector<std::string> connectedHosts() const;
 
--- a/src/daemon/batch/peerliveness.cpp
+++ b/src/daemon/batch/peerliveness.cpp
@@ -34,9 +34,10 @@
     }
 }
 
-void PeerLiveness::messageReceived(const std::string &host)
+void PeerLiveness::messageReceived(const std::string &host, Duration age)
 {
-    m_lastReceived[host] = m_clock.now();
+    MonotonicTime &last = m_lastReceived[host];
+    last = std::max(last, m_clock.now() - age);
     m_firstRequest.erase(host);
     m_silent.erase(host);
 }
--- a/src/daemon/batch/peerliveness.h
+++ b/src/daemon/batch/peerliveness.h
@@ -10,7 +10,7 @@
 
 namespace anvilmill::daemon {
 
-/// \brief Times of the last message from each entry host, and the hosts to stay connected to.
+/// \brief Times at which each entry host sent its last message, and the hosts to stay connected to.
 ///
 /// Thread safety: one thread at a time.
 class PeerLiveness
@@ -26,8 +26,8 @@
 
     [[nodiscard]] const std::vector<PeerHost> &neighbours() const noexcept { return m_neighbours; }
 
-    /// \brief Records that a message from \p host was received now.
-    void messageReceived(const std::string &host);
+    /// \brief Records that a message from \p host was received that was sent \p age ago.
+    void messageReceived(const std::string &host, Duration age);
 
     /// \brief Records that a request was sent to \p host, which answers it immediately.
     ///
--- a/src/daemon/batch/relayedjobs.cpp
+++ b/src/daemon/batch/relayedjobs.cpp
@@ -25,7 +25,7 @@
 {
 }
 
-void RelayedJobs::received(const Frame &frame)
+void RelayedJobs::applyWithdrawals(const Frame &frame)
 {
     if (frame.openJobs)
         reconcile(frame);
@@ -33,6 +33,24 @@
         for (const std::int64_t number : *frame.jobCancels)
             cancel({frame.host, static_cast<JobNumber>(number)});
     }
+}
+
+void RelayedJobs::outdatedReceived(const Frame &frame)
+{
+    applyWithdrawals(frame);
+    if (!frame.jobs)
+        return;
+    for (const auto &message : *frame.jobs)
+        send({frame.host, static_cast<JobNumber>(message.number)},
+             {BatchEnd::Refused, "outdated", {}, 0, {}, "", {}});
+    LogEvent("job.relayOutdated", LogEvent::Level::Warning)
+            .with("host", frame.host)
+            .with("jobs", frame.jobs->size());
+}
+
+void RelayedJobs::received(const Frame &frame)
+{
+    applyWithdrawals(frame);
     if (!frame.jobs)
         return;
     for (const auto &message : *frame.jobs) {
--- a/src/daemon/batch/relayedjobs.h
+++ b/src/daemon/batch/relayedjobs.h
@@ -47,6 +47,10 @@
     /// \brief Handles the jobs in a host's frame: open ones, cancellations, new ones.
     void received(const Frame &frame);
 
+    /// \brief Handles an outdated frame of a host, which may have given up its new jobs: these are
+    /// refused.
+    void outdatedReceived(const Frame &frame);
+
     /// \brief Suspends the jobs of \p host that have not started; call when its connection has ended.
     void disconnected(const std::string &host);
 
@@ -69,6 +73,7 @@
         BatchJob job;
     };
 
+    void applyWithdrawals(const Frame &frame);
     void accept(const Key &key, BatchJob job);
     void cancel(const Key &key);
     void reconcile(const Frame &frame);
--- a/src/daemon/loop/timerqueue.h
+++ b/src/daemon/loop/timerqueue.h
@@ -29,6 +29,8 @@
     /// \brief The time by which the timers expire.
     [[nodiscard]] MonotonicTime now() const { return m_clock.now(); }
 
+    [[nodiscard]] Duration sinceBoot() const { return m_clock.sinceBoot(); }
+
     /// \brief Calls \p task once \p delay has passed, unless cancelled.
     Id after(Duration delay, std::function<void()> task);
 
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+#include <string>
+#include <vector>
+
 using namespace anvilmill;
 using anvilmill::tests::VirtualHosts;
 using std::chrono::milliseconds;
@@ -23,6 +27,7 @@
     CPPUNIT_TEST_SUITE(HostLossTest);
     CPPUNIT_TEST(runOfAFrozenHostEndsWhileOthersRequestStartsFromIt);
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughStopsAreLost);
+    CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,6 +80,40 @@
         }
     }
 
+    // review/2: a holder that had been frozen for seconds carried out requests to start tasks whose jobs
+    // had long been given up, since reading what had waited for it took longer than it paused.
+    void startsThatWaitedAtAFrozenHolderAreNotCarriedOut()
+    {
+        constexpr std::size_t HostCount = 12;
+        VirtualHosts hosts(HostCount, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        for (std::size_t i = 1; i < HostCount; ++i) {
+            const std::string host = "h" + std::to_string(i);
+            submit(hosts, host, "long", hosts.capacityOf(host));
+        }
+        hosts.runFor(seconds(1));
+        hosts.freeze("h0");
+        std::map<std::string, std::vector<JobNumber>> stale;
+        for (int i = 0; i < hosts.capacityOf("h0"); ++i) {
+            for (std::size_t j = 1; j < HostCount; ++j) {
+                const std::string host = "h" + std::to_string(j);
+                const std::string job = host + "stale" + std::to_string(i);
+                stale[host].push_back(hosts.submit(host, job, JobTimeout));
+            }
+            hosts.runFor(milliseconds(10));
+        }
+        hosts.runFor(milliseconds(500));
+        for (const auto &[host, jobs] : stale) {
+            for (const JobNumber job : jobs)
+                hosts.host(host).cancel(job);
+        }
+        hosts.runFor(milliseconds(10));
+        const int starts = hosts.executors().starts();
+        hosts.slowDown("h0");
+        hosts.runFor(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(starts, hosts.executors().starts());
+    }
+
 private:
     static void submit(VirtualHosts &hosts, const std::string &host, const std::string &prefix,
                        int jobs)
--- a/tests/system/batch/test_relayedjobs.cpp
+++ b/tests/system/batch/test_relayedjobs.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(suspendedJobOfASilentHostIsReportedAsNotRun);
     CPPUNIT_TEST(startedJobOfADisconnectedHostContinues);
     CPPUNIT_TEST(malformedJobIsRefused);
+    CPPUNIT_TEST(jobThatWaitedAtAFrozenDispatcherIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -221,6 +222,16 @@
         CPPUNIT_ASSERT(m_submitted.empty());
     }
 
+    // Its client may have submitted it again to another host meanwhile.
+    void jobThatWaitedAtAFrozenDispatcherIsRefused()
+    {
+        connect();
+        m_jobs->outdatedReceived(frameWithJob(7));
+        waitFor([this] { return m_answers.count(7) > 0; });
+        CPPUNIT_ASSERT(m_answers.at(7).end == BatchEnd::Refused);
+        CPPUNIT_ASSERT(m_submitted.empty());
+    }
+
 private:
     static MeshEvents ignoringEvents()
     {
