Start no task of a client that has disconnected, though this wasn't read yet

A host that wakes from a freeze finds requests of clients in its sockets that have given up since, and submitted their jobs again to other hosts. It learns that only when it reads the end of the connection, behind the request. Until then it waits for 50 ms before it starts a task; a weak host doesn't wait at all and transfers the job, with an age of zero.

Change: the job's host looks at the client's connection before it starts a task of the job, at most once for each time that it places tasks of it, and before it transfers the job. A job whose clients have all gone ends as cancelled.

Tests, failed with the look left out: BatchSchedulerTest::taskOfADisconnectedCallerIsNotStarted, JobRelayTest:: jobOfADisconnectedClientIsNotTransferred, HostLossTest::jobIsStartedWhileAnyOfItsClientsIsConnected. HttpLoopTest:: clientDisconnectIsKnownBeforeItIsReported checks the look itself.

--- a/include/anvilmill/scheduling/batchjob.h
+++ b/include/anvilmill/scheduling/batchjob.h
@@ -5,6 +5,7 @@
 #include "anvilmill/executor/run.h"
 #include "anvilmill/job.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -47,6 +48,9 @@
     MonotonicTime arrived;
     /// When the caller's request times out.
     MonotonicTime deadline;
+    /// Returns true once the caller has disconnected, even if the job was not cancelled yet; may be
+    /// empty. The caller submits such a job again to another host.
+    std::function<bool()> isAbandoned = {};
 };
 
 /// \brief How a batch job ended.
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -162,8 +162,14 @@
 {
     checkSuspension();
     const JobNumber number = ++m_lastJob;
-    if (!isDispatcher() && m_relay.relay(number, job, handler))
-        return number;
+    if (!isDispatcher()) {
+        if (job.isAbandoned && job.isAbandoned()) {
+            handler({BatchEnd::Cancelled, "disconnected", {}, 0, {}, "", {}});
+            return std::nullopt;
+        }
+        if (m_relay.relay(number, job, handler))
+            return number;
+    }
     return schedule(number, std::move(job), std::move(handler));
 }
 
--- a/src/daemon/batch/batchjobs.cpp
+++ b/src/daemon/batch/batchjobs.cpp
@@ -2,6 +2,8 @@
 
 #include "log.h"
 
+#include <algorithm>
+
 namespace anvilmill::daemon {
 
 namespace {
@@ -39,12 +41,13 @@
 {
 }
 
-BatchJobs::Waiter BatchJobs::submit(BatchJob job, ResultHandler handler)
+BatchJobs::Waiter BatchJobs::submit(BatchJob job, ResultHandler handler,
+                                    DisconnectCheck isDisconnected)
 {
     const Waiter waiter = ++m_lastWaiter;
     const std::string id = job.id;
     Active &active = m_active[id];
-    active.waiters.emplace(waiter, std::move(handler));
+    active.waiters.emplace(waiter, Client{std::move(handler), std::move(isDisconnected)});
     m_waiters.emplace(waiter, id);
     if (active.waiters.size() > 1)
         return waiter;
@@ -53,6 +56,7 @@
     active.tasks = job.tasks.size();
     active.arrived = job.arrived;
     active.deadline = job.deadline;
+    job.isAbandoned = [this, id] { return isAbandoned(id); };
     const auto number = m_host.submit(std::move(job),
                                       [this, id](const BatchResult &result) { ended(id, result); });
     const auto found = m_active.find(id);
@@ -76,6 +80,14 @@
         (void)cancel(id);
 }
 
+bool BatchJobs::isAbandoned(const std::string &id) const
+{
+    const auto active = m_active.find(id);
+    return active != m_active.end()
+           && std::all_of(active->second.waiters.begin(), active->second.waiters.end(),
+                          [](const auto &entry) { return entry.second.isDisconnected(); });
+}
+
 bool BatchJobs::cancel(const std::string &id)
 {
     const auto active = m_active.find(id);
@@ -109,9 +121,9 @@
         logEnd(id, job, result);
     m_metrics.jobEnded(job.route, asString(result.end), result.cause, m_clock.now() - job.arrived,
                        result.waited);
-    for (const auto &[waiter, handler] : job.waiters) {
+    for (const auto &[waiter, client] : job.waiters) {
         m_waiters.erase(waiter);
-        handler(result);
+        client.handler(result);
     }
 }
 
--- a/src/daemon/batch/batchjobs.h
+++ b/src/daemon/batch/batchjobs.h
@@ -27,13 +27,17 @@
 public:
     using Waiter = std::uint64_t;
     using ResultHandler = BatchHost::ResultHandler;
+    /// Returns true if the client has disconnected.
+    using DisconnectCheck = std::function<bool()>;
 
     /// Precondition: the references outlive the object. \p statusRetention: how long final states
     /// are kept.
     BatchJobs(BatchHost &host, const Clock &clock, BatchMetrics &metrics, Duration statusRetention);
 
     /// \brief Runs a job, or waits for the active job with the same id.
-    Waiter submit(BatchJob job, ResultHandler handler);
+    ///
+    /// No task is started once \p isDisconnected returns true for all clients that wait for the job.
+    Waiter submit(BatchJob job, ResultHandler handler, DisconnectCheck isDisconnected);
 
     /// \brief Removes a waiter whose client has disconnected; a job without waiters is cancelled.
     void abandon(Waiter waiter);
@@ -45,6 +49,11 @@
     [[nodiscard]] std::size_t active() const noexcept { return m_active.size(); }
 
 private:
+    struct Client
+    {
+        ResultHandler handler;
+        DisconnectCheck isDisconnected;
+    };
     struct Active
     {
         std::optional<JobNumber> number;
@@ -53,9 +62,10 @@
         std::size_t tasks = 0;
         MonotonicTime arrived;
         MonotonicTime deadline;
-        std::map<Waiter, ResultHandler> waiters;
+        std::map<Waiter, Client> waiters;
     };
 
+    [[nodiscard]] bool isAbandoned(const std::string &id) const;
     void ended(const std::string &id, const BatchResult &result);
     [[nodiscard]] bool isLogged(const BatchResult &result);
     void logEnd(const std::string &id, const Active &job, const BatchResult &result) const;
--- a/src/daemon/loop/httpserver.cpp
+++ b/src/daemon/loop/httpserver.cpp
@@ -137,6 +137,11 @@
         m_disconnectHandler = std::move(handler);
     }
 
+    [[nodiscard]] bool isClientDisconnected() override
+    {
+        return m_phase == Phase::Closed || isClosedByPeer(m_socket);
+    }
+
 private:
     enum class Phase { Idle, Reading, Handling, Writing, Closed };
 
--- a/src/daemon/loop/httpserver.h
+++ b/src/daemon/loop/httpserver.h
@@ -53,6 +53,10 @@
 
     /// \brief Calls \p handler if the client closes the connection before the response is sent.
     virtual void onClientDisconnected(std::function<void()> handler) = 0;
+
+    /// \brief True if the client has closed the connection, though the handler of
+    /// onClientDisconnected() may not have been called yet.
+    [[nodiscard]] virtual bool isClientDisconnected() = 0;
 };
 
 /// \brief Limits of one HttpServer. Changes apply to subsequent requests and connections.
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace anvilmill {
 
@@ -208,6 +209,8 @@
         unfitDemands.add(job.job.tasks[failed].resources.milliCores,
                          minSpeedFor(job, failed, fastest->second));
     }
+    for (const JobNumber number : std::exchange(m_abandoned, {}))
+        finish(number, {BatchEnd::Cancelled, "disconnected", {}, 0, {}, "", {}});
 }
 
 WaitingUrgency BatchScheduler::urgencyOf(const Job &job)
@@ -242,6 +245,7 @@
 bool BatchScheduler::placeTasks(JobNumber number, Job &job, double fastestSpeed)
 {
     const std::string &service = job.job.route->service;
+    bool isCallerPresent = !job.job.isAbandoned;
     while (!job.unstarted.empty()) {
         const std::uint32_t index = job.unstarted.back();
         const Task &task = job.tasks[index];
@@ -256,6 +260,12 @@
         }
         if (!executor)
             return false;
+        // Checked here rather than for each waiting job, since it costs a system call.
+        if (!isCallerPresent && job.job.isAbandoned()) {
+            m_abandoned.push_back(number);
+            return true;
+        }
+        isCallerPresent = true;
         job.unstarted.pop_back();
         startTask(number, job, index, *executor);
     }
--- a/tests/fakes/virtualhosts.h
+++ b/tests/fakes/virtualhosts.h
@@ -76,25 +76,33 @@
         return *m_hosts.at(name)->batchHost;
     }
 
+    [[nodiscard]] const Clock &clock() const { return m_clock; }
+    [[nodiscard]] daemon::BatchMetrics &metrics() { return m_metrics; }
+
     void freeze(const std::string &name) { m_hosts.at(name)->speed = Speed::Frozen; }
     void slowDown(const std::string &name) { m_hosts.at(name)->speed = Speed::Slow; }
     void resume(const std::string &name) { m_hosts.at(name)->speed = Speed::Normal; }
 
     /// Submits a job of one task.
     JobNumber submit(const std::string &name, const std::string &job, Duration timeout)
+    {
+        return host(name).submit(makeJob(job, timeout), [](const BatchResult &) {}).value_or(0);
+    }
+
+    [[nodiscard]] BatchJob makeJob(const std::string &id, Duration timeout) const
     {
         RoutePolicy policy;
         policy.route = "quotes";
         policy.service = "desk";
         policy.maxAttempts = 2;
         BatchJob batch;
-        batch.id = job;
+        batch.id = id;
         batch.route = std::make_shared<const RoutePolicy>(policy);
         batch.spec = std::make_shared<const std::string>("spec");
         batch.tasks.assign(1, {Demand, std::chrono::milliseconds(50)});
         batch.arrived = m_clock.now();
         batch.deadline = batch.arrived + timeout;
-        return host(name).submit(std::move(batch), [](const BatchResult &) {}).value_or(0);
+        return batch;
     }
 
     /// The executor that runs the task of \p job; empty if none does.
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -1,8 +1,10 @@
+#include "batch/batchjobs.h"
 #include "fakes/virtualhosts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,7 @@
     CPPUNIT_TEST(runOfAFrozenHostEndsWhileOthersRequestStartsFromIt);
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughStopsAreLost);
     CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
+    CPPUNIT_TEST(jobIsStartedWhileAnyOfItsClientsIsConnected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +117,32 @@
         CPPUNIT_ASSERT_EQUAL(starts, hosts.executors().starts());
     }
 
+    // A client that lost its connection may have returned to the same host on another one.
+    void jobIsStartedWhileAnyOfItsClientsIsConnected()
+    {
+        VirtualHosts hosts(1, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        daemon::BatchJobs jobs(hosts.host("h0"), hosts.clock(), hosts.metrics(), JobTimeout);
+        submit(hosts, "h0", "long", hosts.capacityOf("h0") - 1);
+        const JobNumber last = hosts.submit("h0", "last", JobTimeout);
+        hosts.runFor(milliseconds(100));
+        const auto isDisconnected = [] { return true; };
+        const auto isConnected = [] { return false; };
+        std::optional<BatchEnd> end;
+        // Both jobs wait for capacity until the last one is cancelled.
+        jobs.submit(
+                hosts.makeJob("unwanted", JobTimeout),
+                [&end](const BatchResult &result) { end = result.end; }, isDisconnected);
+        jobs.submit(
+                hosts.makeJob("wanted", JobTimeout), [](const BatchResult &) {}, isDisconnected);
+        jobs.submit(
+                hosts.makeJob("wanted", JobTimeout), [](const BatchResult &) {}, isConnected);
+        hosts.host("h0").cancel(last);
+        hosts.runFor(seconds(1));
+        CPPUNIT_ASSERT(end == BatchEnd::Cancelled);
+        CPPUNIT_ASSERT(!hosts.executorOf("wanted").empty());
+    }
+
 private:
     static void submit(VirtualHosts &hosts, const std::string &host, const std::string &prefix,
                        int jobs)
--- a/tests/system/batch/test_jobrelay.cpp
+++ b/tests/system/batch/test_jobrelay.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(refusalIsRelayedWithItsCause);
     CPPUNIT_TEST(jobOfALostDispatcherIsReportedAsBroken);
     CPPUNIT_TEST(runsOfALostWeakHostAreStopped);
+    CPPUNIT_TEST(jobOfADisconnectedClientIsNotTransferred);
     CPPUNIT_TEST(weakHostIsDispatcherWhenItIsTheOnlyHost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -54,6 +55,7 @@
         for (const char *const id : Executors)
             m_executors->add(id, Capacity);
         m_results.clear();
+        m_isAbandoned = false;
         // Each test uses its own ports, so that it need not wait until those of an earlier test are
         // free.
         for (const char *const name : {Strong[0], Strong[1], Strong[2], Weak})
@@ -135,6 +137,17 @@
         CPPUNIT_ASSERT(m_clock.now() - lost < seconds(5));
     }
 
+    // A weak host that was frozen reads a request, and only later that its client has gone. It has no
+    // pause after a stall, since it starts nothing itself.
+    void jobOfADisconnectedClientIsNotTransferred()
+    {
+        m_isAbandoned = true;
+        submit("job", 8, MaxWait);
+        runFor(milliseconds(300));
+        CPPUNIT_ASSERT(m_results["job"].end == BatchEnd::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(0, m_executors->starts());
+    }
+
     void weakHostIsDispatcherWhenItIsTheOnlyHost()
     {
         for (const char *const name : Strong)
@@ -201,6 +214,7 @@
         job.tasks.assign(tasks, {demand, milliseconds(50)});
         job.arrived = m_clock.now();
         job.deadline = job.arrived + wait;
+        job.isAbandoned = [this] { return m_isAbandoned; };
         return m_hosts[Weak]->submit(std::move(job), [this, id](const BatchResult &result) {
             CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_results.count(id));
             m_results[id] = result;
@@ -237,6 +251,7 @@
     std::map<std::string, std::unique_ptr<BatchHost>> m_hosts;
     std::map<std::string, boost::asio::ip::tcp::endpoint> m_addresses;
     std::map<std::string, BatchResult> m_results;
+    bool m_isAbandoned = false;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobRelayTest);
--- a/tests/system/loop/test_httpclient.cpp
+++ b/tests/system/loop/test_httpclient.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(responseTimeoutDoesNotLimitTheBody);
     CPPUNIT_TEST(unopenableConnectionEndsAsNotSent);
     CPPUNIT_TEST(clientDisconnectIsDetected);
+    CPPUNIT_TEST(clientDisconnectIsKnownBeforeItIsReported);
     CPPUNIT_TEST(tooLargeBodyIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -132,6 +133,26 @@
         m_heldExchange.reset();
     }
 
+    // The host of a job asks before it starts a task: the loop may have other events to handle before the
+    // disconnect.
+    void clientDisconnectIsKnownBeforeItIsReported()
+    {
+        bool isReported = false;
+        serve([&](const auto &exchange) {
+            exchange->onClientDisconnected([&] { isReported = true; });
+            m_heldExchange = exchange;
+        });
+        send("x", seconds(600));
+        waitFor([&] { return m_heldExchange != nullptr; });
+        CPPUNIT_ASSERT(!m_heldExchange->isClientDisconnected());
+        m_client.reset();
+        CPPUNIT_ASSERT(m_heldExchange->isClientDisconnected());
+        CPPUNIT_ASSERT(!isReported);
+        waitFor([&] { return isReported; });
+        CPPUNIT_ASSERT(m_heldExchange->isClientDisconnected());
+        m_heldExchange.reset();
+    }
+
     void tooLargeBodyIsRejected()
     {
         serve([](const auto &exchange) { exchange->respond({200, "", {}}); });
--- a/tests/unit/scheduling/test_batchscheduler.cpp
+++ b/tests/unit/scheduling/test_batchscheduler.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(unstartedJobIsRefusedAtItsDeadline);
     CPPUNIT_TEST(startedJobIsBrokenAtItsDeadlineAndStopped);
     CPPUNIT_TEST(cancelStopsRunningTasks);
+    CPPUNIT_TEST(taskOfADisconnectedCallerIsNotStarted);
     CPPUNIT_TEST(staleReportOffersNoCapacity);
     CPPUNIT_TEST(jobWithoutAReachableExecutorIsRefusedAtOnce);
     CPPUNIT_TEST(ownDataCentreIsPreferredToEquallyFastOthers);
@@ -370,6 +371,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->stops.size());
     }
 
+    // A host that was frozen reads a request, and only later that its client has closed the connection
+    // and submitted the job again to another host.
+    void taskOfADisconnectedCallerIsNotStarted()
+    {
+        addExecutors(1);
+        bool isDisconnected = true;
+        BatchJob job = jobOf(1, 3, Demand);
+        job.isAbandoned = [&isDisconnected] { return isDisconnected; };
+        CPPUNIT_ASSERT(!m_scheduler->submit(1, BatchJob(job)));
+        m_scheduler->place();
+        CPPUNIT_ASSERT(m_output->starts.empty());
+        CPPUNIT_ASSERT(m_output->ends.at(1).end == BatchEnd::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_scheduler->jobs());
+
+        // The caller disconnects while the third task waits for capacity.
+        isDisconnected = false;
+        CPPUNIT_ASSERT(!m_scheduler->submit(2, std::move(job)));
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
+        isDisconnected = true;
+        freeCapacityForOneTask();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_output->starts.size());
+        CPPUNIT_ASSERT(m_output->ends.at(2).end == BatchEnd::Cancelled);
+    }
+
     void cancelStopsRunningTasks()
     {
         addExecutors(1);
