--- a/src/daemon/batch/mesh.cpp
+++ b/src/daemon/batch/mesh.cpp
@@ -443,7 +443,7 @@
 void Mesh::send(const MeshFrame &frame, const std::vector<std::string> &hosts)
 {
     MeshFrame stamped = frame;
-    m_state->clocks.stampForAll(stamped, m_state->timers.sinceBoot());
+    PeerClocks::stampForAll(stamped, m_state->timers.sinceBoot());
     const EncodedFrame bytes = encoded(stamped);
     for (const std::string &host : hosts) {
         const auto found = m_state->links.find(host);
--- a/src/daemon/batch/peerclocks.cpp
+++ b/src/daemon/batch/peerclocks.cpp
@@ -25,7 +25,7 @@
         frame.echoUs = asMicroseconds(now - peer->second.behind);
 }
 
-void PeerClocks::stampForAll(wire::meshframe::MeshFrame &frame, Duration now) const
+void PeerClocks::stampForAll(wire::meshframe::MeshFrame &frame, Duration now)
 {
     frame.sentUs = asMicroseconds(now);
 }
--- a/src/daemon/batch/peerclocks.h
+++ b/src/daemon/batch/peerclocks.h
@@ -31,7 +31,7 @@
     void stamp(wire::meshframe::MeshFrame &frame, const std::string &host, Duration now) const;
 
     /// \brief Writes the sender's time into a frame to several hosts.
-    void stampForAll(wire::meshframe::MeshFrame &frame, Duration now) const;
+    static void stampForAll(wire::meshframe::MeshFrame &frame, Duration now);
 
     /// \brief Records the times of a frame that was received at \p now.
     void received(const wire::meshframe::MeshFrame &frame, Duration now);
--- a/tests/unit/test_peerclocks.cpp
+++ b/tests/unit/test_peerclocks.cpp
@@ -41,7 +41,7 @@
         exchange();
         MeshFrame report;
         report.host = "b";
-        m_b.stampForAll(report, timeAtB());
+        PeerClocks::stampForAll(report, timeAtB());
         advance(milliseconds(700));
         m_a.received(report, timeAtA());
         CPPUNIT_ASSERT(*m_a.ageOf(report, timeAtA()) >= milliseconds(700));
