Count a holder's silence from its last message, and state the sum for its runs right

Callers saw: nothing; found on reading the change once more. A task may run twice if a holder hears from the job's host, which doesn't hear from it, and all stops get lost.

Cause: the sum after which runs at a silent holder count as over took the job's host to look for silent holders each 50 ms, as holders do for silent hosts. It does so with its heartbeats, each 250 ms. And the first request after the holder's last message put the detection off by up to the silence timeout, which the sum left out: 3,505 ms were up to 1.1 s too short. The allowance for hosts whose heartbeats are rare was at the wrong depth: what matters is since when a host owes frequent ones, not when it was asked for something.

Change: PeerLiveness keeps since when a host shares runs or jobs, instead of the first request.

Tests, which failed with the former code: LivenessTimeoutsTest::runsAtASilentHolderAreNotGivenUpBeforeTheirLeaseHasExpired, with the bound as it has to be; PeerLivenessTest::whatIsSharedWithAFrozenHostDoesntCountAsItsMessages (the former requestsToAFrozenHostDontCountAsItsMessages, which allowed 800 ms of 900) and hostWithRareHeartbeatsIsOverdueOnlyOnceItShares.

--- a/include/anvilmill/executor/livenesstimeouts.h
+++ b/include/anvilmill/executor/livenesstimeouts.h
@@ -26,7 +26,7 @@
 public:
     /// Interval of the heartbeats that each host sends to the hosts with which it shares runs or jobs.
     static constexpr Duration HeartbeatInterval = std::chrono::milliseconds(250);
-    /// Interval at which a host looks for silent peers.
+    /// Interval at which a host looks for silent peers whose runs and jobs it has.
     static constexpr Duration CheckInterval = std::chrono::milliseconds(50);
     /// Longest iteration of a busy host's loop, by which it acts later than it should.
     static constexpr Duration LoopDelay = std::chrono::milliseconds(50);
@@ -52,7 +52,8 @@
     /// request.
     [[nodiscard]] Duration maxRequestAge() const noexcept { return m_silentAfter / 2; }
 
-    /// \brief Time from the last message of a holder to the end of all runs that this host has there.
+    /// \brief Time from the last message of a holder, or from the request of a run if that was later, to
+    /// the end of the runs that this host has there.
     [[nodiscard]] Duration runsEndedAfter() const noexcept;
 
 private:
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -207,7 +207,6 @@
         });
         return;
     }
-    m_peers.requestSent(holder);
     MeshStart message;
     message.executor = m_view.idOf(start.executor);
     setRun(message, start.run);
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -184,11 +184,12 @@
         if (m_peers.silence(owner) >= m_timeouts.silentAfter())
             endSharedWith(owner);
     }
-    const std::set<std::string> expected = heartbeatHosts();
+    const std::set<std::string> sharing = heartbeatHosts();
+    m_peers.setSharing(sharing);
     for (const PeerHost &host : m_peers.neighbours()) {
-        const bool isExpected = expected.count(host.name) > 0;
-        const Duration limit = isExpected ? m_timeouts.silentAfter() : FarSilentAfter;
-        if (host.name == m_settings.name || m_peers.unresponsiveness(host.name) < limit)
+        const bool isSharing = sharing.count(host.name) > 0;
+        const Duration limit = isSharing ? m_timeouts.silentAfter() : FarSilentAfter;
+        if (host.name == m_settings.name || m_peers.overdue(host.name) < limit)
             continue;
         setWaiting(host.name, std::nullopt);
         if (m_peers.mayRedial(host.name))
--- a/src/daemon/batch/peerliveness.cpp
+++ b/src/daemon/batch/peerliveness.cpp
@@ -1,6 +1,7 @@
 #include "peerliveness.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvilmill::daemon {
 
@@ -38,13 +39,17 @@
 {
     MonotonicTime &last = m_lastReceived[host];
     last = std::max(last, m_clock.now() - age);
-    m_firstRequest.erase(host);
     m_silent.erase(host);
 }
 
-void PeerLiveness::requestSent(const std::string &host)
+void PeerLiveness::setSharing(const std::set<std::string> &hosts)
 {
-    m_firstRequest.emplace(host, m_clock.now());
+    std::map<std::string, MonotonicTime> since;
+    for (const std::string &host : hosts) {
+        const auto known = m_sharingSince.find(host);
+        since.emplace(host, known == m_sharingSince.end() ? m_clock.now() : known->second);
+    }
+    m_sharingSince = std::move(since);
 }
 
 MonotonicTime PeerLiveness::lastReceived(const std::string &host) const
@@ -58,12 +63,12 @@
     return m_clock.now() - lastReceived(host);
 }
 
-Duration PeerLiveness::unresponsiveness(const std::string &host) const
+Duration PeerLiveness::overdue(const std::string &host) const
 {
-    const auto request = m_firstRequest.find(host);
+    const auto sharing = m_sharingSince.find(host);
     const Duration silent = silence(host);
-    return request == m_firstRequest.end() ? silent
-                                           : std::min(silent, m_clock.now() - request->second);
+    return sharing == m_sharingSince.end() ? silent
+                                           : std::min(silent, m_clock.now() - sharing->second);
 }
 
 std::vector<std::string> PeerLiveness::takeNewlySilent(Duration limit)
--- a/src/daemon/batch/peerliveness.h
+++ b/src/daemon/batch/peerliveness.h
@@ -29,11 +29,9 @@
     /// \brief Records that a message from \p host was received that was sent \p age ago.
     void messageReceived(const std::string &host, Duration age);
 
-    /// \brief Records that a request was sent to \p host, which answers it immediately.
-    ///
-    /// Only a message from the host shows that it is alive: further requests don't extend the time
-    /// that it has for the first one.
-    void requestSent(const std::string &host);
+    /// \brief Sets the hosts that send frequent heartbeats to this one from now on, since they share
+    /// runs or jobs with it.
+    void setSharing(const std::set<std::string> &hosts);
 
     /// \brief Time since the last message from \p host; very long if there was none.
     [[nodiscard]] Duration silence(const std::string &host) const;
@@ -42,12 +40,9 @@
     /// \brief The hosts whose silence has reached \p limit since the last call.
     [[nodiscard]] std::vector<std::string> takeNewlySilent(Duration limit);
 
-    /// \brief Time since the last message from \p host or the first request that was sent to it after
-    /// that message, whichever is later.
-    ///
-    /// The silence of a host that sends heartbeats rarely doesn't count against it before it has been
-    /// sent a request.
-    [[nodiscard]] Duration unresponsiveness(const std::string &host) const;
+    /// \brief Time since the last message from \p host, or since it became one of the sharing hosts if
+    /// that was later: before, its heartbeats were rare.
+    [[nodiscard]] Duration overdue(const std::string &host) const;
 
     /// \brief The neighbours, recent former neighbours, and hosts that are no longer listed but
     /// still send messages: these may be disconnected only from the store, and still have clients.
@@ -67,8 +62,8 @@
     std::map<std::string, PeerHost> m_everNeighbours;
     std::map<std::string, MonotonicTime> m_lastNeighbour;
     std::map<std::string, MonotonicTime> m_lastReceived;
-    /// The first request to each host since its last message.
-    std::map<std::string, MonotonicTime> m_firstRequest;
+    /// When each of the sharing hosts became one.
+    std::map<std::string, MonotonicTime> m_sharingSince;
     /// Hosts that were reported as silent and have sent no message since.
     std::set<std::string> m_silent;
     std::map<std::string, MonotonicTime> m_nextRedial;
--- a/tests/unit/executor/test_livenesstimeouts.cpp
+++ b/tests/unit/executor/test_livenesstimeouts.cpp
@@ -42,7 +42,10 @@
     {
         const HoldSettings hold;
         const LivenessTimeouts timeouts(LivenessSettings(), hold);
-        const Duration lastRenewal = 2 * timeouts.silentAfter() + hold.stopGrace;
+        // The job's host looks for silent holders with its heartbeats.
+        const Duration closed = 2 * LivenessTimeouts::HeartbeatInterval + timeouts.silentAfter();
+        const Duration stopped = closed + timeouts.silentAfter() + LivenessTimeouts::CheckInterval;
+        const Duration lastRenewal = stopped + hold.stopGrace;
         CPPUNIT_ASSERT(timeouts.runsEndedAfter() > lastRenewal + hold.longestLease);
     }
 };
--- a/tests/unit/test_peerliveness.cpp
+++ b/tests/unit/test_peerliveness.cpp
@@ -7,12 +7,13 @@
 using namespace anvilmill;
 using anvilmill::daemon::PeerLiveness;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 class PeerLivenessTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(PeerLivenessTest);
-    CPPUNIT_TEST(requestsToAFrozenHostDontCountAsItsMessages);
-    CPPUNIT_TEST(hostWithRareHeartbeatsHasTimeToAnswerARequest);
+    CPPUNIT_TEST(whatIsSharedWithAFrozenHostDoesntCountAsItsMessages);
+    CPPUNIT_TEST(hostWithRareHeartbeatsIsOverdueOnlyOnceItShares);
     CPPUNIT_TEST(messageThatWaitedDoesntShowThatItsSenderIsAlive);
     CPPUNIT_TEST_SUITE_END();
 
@@ -20,30 +21,34 @@
     // A holder stops the runs of a host that it hasn't heard from for 0.9 s, before the host's clients
     // submit their jobs again. It went on requesting starts from the frozen host, each of which put
     // this off.
-    void requestsToAFrozenHostDontCountAsItsMessages()
+    void whatIsSharedWithAFrozenHostDoesntCountAsItsMessages()
     {
         m_peers.messageReceived("frozen", {});
+        m_peers.setSharing({"frozen"});
         for (int i = 0; i < 9; ++i) {
             m_clock.advance(milliseconds(100));
-            m_peers.requestSent("frozen");
+            m_peers.setSharing({"frozen", "other"});
         }
         CPPUNIT_ASSERT(m_peers.silence("frozen") == milliseconds(900));
-        CPPUNIT_ASSERT(m_peers.unresponsiveness("frozen") == milliseconds(800));
+        CPPUNIT_ASSERT(m_peers.overdue("frozen") == milliseconds(900));
     }
 
-    void hostWithRareHeartbeatsHasTimeToAnswerARequest()
+    void hostWithRareHeartbeatsIsOverdueOnlyOnceItShares()
     {
         m_peers.messageReceived("far", {});
         m_clock.advance(milliseconds(950));
-        m_peers.requestSent("far");
+        m_peers.setSharing({"far"});
         m_clock.advance(milliseconds(50));
-        CPPUNIT_ASSERT(m_peers.unresponsiveness("far") == milliseconds(50));
+        CPPUNIT_ASSERT(m_peers.silence("far") == seconds(1));
+        CPPUNIT_ASSERT(m_peers.overdue("far") == milliseconds(50));
         m_peers.messageReceived("far", {});
-        m_clock.advance(milliseconds(100));
-        m_peers.requestSent("far");
-        m_clock.advance(milliseconds(100));
-        CPPUNIT_ASSERT(m_peers.silence("far") == milliseconds(200));
-        CPPUNIT_ASSERT(m_peers.unresponsiveness("far") == milliseconds(100));
+        m_clock.advance(milliseconds(200));
+        m_peers.setSharing({"far"});
+        CPPUNIT_ASSERT(m_peers.overdue("far") == milliseconds(200));
+        // It shares nothing for a moment.
+        m_peers.setSharing({});
+        m_peers.setSharing({"far"});
+        CPPUNIT_ASSERT(m_peers.overdue("far") == Duration{});
     }
 
     // A slow holder read the last messages of a frozen host late, and so kept its runs for longer.
