Keep the times of rare heartbeats with the other liveness timeouts

The silence timeout of hosts that share nothing, the redial interval that equals it, and the number of heartbeats between those to all hosts said the same thing in two files. Same values: 1 s and 2.5 s.

--- a/include/anvilmill/executor/livenesstimeouts.h
+++ b/include/anvilmill/executor/livenesstimeouts.h
@@ -26,6 +26,11 @@
 public:
     /// Interval of the heartbeats that each host sends to the hosts with which it shares runs or jobs.
     static constexpr Duration HeartbeatInterval = std::chrono::milliseconds(250);
+    /// Interval of the heartbeats to the other connected hosts.
+    static constexpr Duration RareHeartbeatInterval = 4 * HeartbeatInterval;
+    /// Silence after which a host that sends these is connected again. It shares nothing with this host,
+    /// so nothing ends.
+    static constexpr Duration RareSilentAfter = RareHeartbeatInterval * 5 / 2;
     /// Interval at which a host looks for silent peers whose runs and jobs it has.
     static constexpr Duration CheckInterval = std::chrono::milliseconds(50);
     /// Longest iteration of a busy host's loop, by which it acts later than it should.
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -10,11 +10,10 @@
 
 namespace {
 
-/// Hosts of other data centres that have no runs or jobs in common with this one receive every
-/// fourth heartbeat.
-constexpr std::size_t HeartbeatsForAll = 4;
-/// Silence timeout for hosts that send heartbeats only once a second.
-constexpr Duration FarSilentAfter = std::chrono::milliseconds(2500);
+/// Hosts of other data centres that have no runs or jobs in common with this one receive every such
+/// heartbeat.
+constexpr std::size_t HeartbeatsForAll =
+        LivenessTimeouts::RareHeartbeatInterval / LivenessTimeouts::HeartbeatInterval;
 constexpr Duration LoadInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -188,7 +187,8 @@
     m_peers.setSharing(sharing);
     for (const PeerHost &host : m_peers.neighbours()) {
         const bool isSharing = sharing.count(host.name) > 0;
-        const Duration limit = isSharing ? m_timeouts.silentAfter() : FarSilentAfter;
+        const Duration limit =
+                isSharing ? m_timeouts.silentAfter() : LivenessTimeouts::RareSilentAfter;
         if (host.name == m_settings.name || m_peers.overdue(host.name) < limit)
             continue;
         setWaiting(host.name, std::nullopt);
--- a/src/daemon/batch/peerliveness.cpp
+++ b/src/daemon/batch/peerliveness.cpp
@@ -1,5 +1,7 @@
 #include "peerliveness.h"
 
+#include "anvilmill/executor/livenesstimeouts.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,8 +14,7 @@
 /// How long a listed host that is no longer a neighbour stays connected. Callers wait less than
 /// that for jobs and runs that the two hosts share.
 constexpr Duration FormerNeighbourRetention = std::chrono::seconds(5);
-/// Equals the silence timeout of hosts that send heartbeats only once a second.
-constexpr Duration RedialInterval = std::chrono::milliseconds(2500);
+constexpr Duration RedialInterval = LivenessTimeouts::RareSilentAfter;
 
 } // namespace
 
