--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -156,6 +156,7 @@
     void addAllCapacity(Frame &frame) const;
     void logLoad();
     void received(const Frame &frame);
+    void logOutdatedStarts(const Frame &frame, std::optional<Duration> age);
     void handleReplies(const Frame &frame);
     void handleStarts(const Frame &frame, bool isOutdated);
     void handleClaims(const Frame &frame);
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -90,6 +90,8 @@
     const auto age = m_mesh.ageOf(frame);
     m_peers.messageReceived(frame.host, age.value_or(Duration{}));
     const bool isOutdated = !age || *age > m_timeouts.maxRequestAge();
+    if (isOutdated && frame.starts)
+        logOutdatedStarts(frame, age);
     if (m_frameListener)
         m_frameListener(frame);
     m_relay.received(frame);
@@ -109,6 +111,16 @@
     schedulePlacement();
 }
 
+void BatchHost::logOutdatedStarts(const Frame &frame, std::optional<Duration> age)
+{
+    m_metrics.runDecided("outdatedRequest");
+    LogEvent("run.requestOutdated", LogEvent::Level::Warning)
+            .with("host", frame.host)
+            .with("age", age.value_or(Duration{}))
+            .with("limit", m_timeouts.maxRequestAge())
+            .with("starts", frame.starts->size());
+}
+
 void BatchHost::handleReplies(const Frame &frame)
 {
     for (const MeshReply &reply : frame.replies.value_or(std::vector<MeshReply>())) {
@@ -126,14 +138,6 @@
 // with the connection.
 void BatchHost::handleStarts(const Frame &frame, bool isOutdated)
 {
-    if (isOutdated && frame.starts) {
-        m_metrics.runDecided("outdatedRequest");
-        LogEvent("run.requestOutdated", LogEvent::Level::Warning)
-                .with("host", frame.host)
-                .with("age", m_mesh.ageOf(frame).value_or(Duration{}))
-                .with("limit", m_timeouts.maxRequestAge())
-                .with("starts", frame.starts->size());
-    }
     bool isAnyRefused = false;
     for (const MeshStart &start : frame.starts.value_or(std::vector<MeshStart>())) {
         const RunId run = runOf(start);
