--- a/tests/unit/test_peerclocks.cpp
+++ b/tests/unit/test_peerclocks.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <limits>
+
 using namespace anvilmill;
 using anvilmill::daemon::PeerClocks;
 using anvilmill::wire::meshframe::MeshFrame;
@@ -17,6 +20,7 @@
     CPPUNIT_TEST(framesReadLateDontMakeTheirAnswersLookOld);
     CPPUNIT_TEST(ageIsUnknownBeforeTheSenderHasSeenThisHostsClock);
     CPPUNIT_TEST(timeOfAnEarlierBootOfThisMachineIsIgnored);
+    CPPUNIT_TEST(malformedTimesAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +85,22 @@
         CPPUNIT_ASSERT(!m_a.ageOf(request, timeAtA()));
     }
 
+    void malformedTimesAreIgnored()
+    {
+        exchange();
+        for (const std::int64_t time : {std::numeric_limits<std::int64_t>::min(), std::int64_t{-1},
+                                        std::numeric_limits<std::int64_t>::max()}) {
+            MeshFrame frame = sentByB();
+            frame.sentUs = time;
+            m_a.received(frame, timeAtA());
+            CPPUNIT_ASSERT(!m_a.ageOf(frame, timeAtA()));
+            frame = sentByB();
+            frame.echoUs = time;
+            m_a.received(frame, timeAtA());
+            CPPUNIT_ASSERT(*m_a.ageOf(frame, timeAtA()) <= 2 * Delay);
+        }
+    }
+
 private:
     static constexpr Duration Delay = milliseconds(2);
 
