--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -73,7 +73,8 @@
     /// \brief True if the last place() left capacity to other hosts; call it again after YieldPeriod.
     [[nodiscard]] bool hasYielded() const noexcept { return m_hasYielded; }
 
-    /// \brief Starts all tasks that fit, and ends jobs that were abandoned by then. Call after any event that may have freed capacity.
+    /// \brief Starts all tasks that fit, and ends jobs that were abandoned by then. Call after any event
+    /// that may have freed capacity.
     void place();
 
     /// \brief Call when the executor's holder has accepted the start.
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -1,12 +1,12 @@
 #include "holderservice.h"
 
+#include "batch/holderserviceentry.h"
 #include "log.h"
 #include "loop/timerqueue.h"
 
 #include "anvilmill/executor/livenesstimeouts.h"
 
 #include <algorithm>
-#include <deque>
 
 namespace anvilmill::daemon {
 
@@ -27,28 +27,6 @@
 
 } // namespace
 
-struct HolderService::Entry
-{
-    Entry(const Clock &clock, const HoldSettings &settings,
-          const ExecutorRegistration &registration)
-        : executor(clock, settings, registration)
-    {
-    }
-
-    HeldExecutor executor;
-    /// Runs for which stop orders are being sent.
-    std::set<RunId> stopping;
-    /// Runs that were reported as lapsed without an answer from the executor, oldest first.
-    std::deque<RunId> inferredEnds;
-    std::optional<MonotonicTime> scheduledProbe;
-    std::uint64_t incarnation = 0;
-    bool isHoldInFlight = false;
-    /// A second hold is in flight, to resolve unanswered starts while the first one waits for ends.
-    bool isSecondHoldInFlight = false;
-    bool isRemoved = false;
-    bool isUnresponsive = false;
-};
-
 HolderService::HolderService(const Clock &clock, TimerQueue &timers, ExecutorCalls &calls,
                              BatchMetrics &metrics, const HoldSettings &settings,
                              HolderEvents events)
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "anvilmill/randomsource.h"
 #include "anvilmill/scheduling/capacityview.h"
+#include "unfitdemands.h"
 
 #include <algorithm>
 #include <numeric>
@@ -35,27 +36,6 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-/// Demands that no executor can take now: a task that needs no less and no slower an executor is
-/// skipped without a scan.
-class UnfitDemands
-{
-public:
-    void add(std::int64_t milliCores, double minSpeed)
-    {
-        m_demands.emplace_back(milliCores, minSpeed);
-    }
-
-    [[nodiscard]] bool includes(std::int64_t milliCores, double minSpeed) const
-    {
-        return std::any_of(m_demands.begin(), m_demands.end(), [&](const auto &demand) {
-            return milliCores >= demand.first && minSpeed >= demand.second;
-        });
-    }
-
-private:
-    std::vector<std::pair<std::int64_t, double>> m_demands;
-};
-
 double coreSeconds(const Resources &resources, Duration work)
 {
     return static_cast<double>(resources.milliCores) / MillisPerCore * asSeconds(work);
@@ -63,23 +43,6 @@
 
 } // namespace
 
-const char *asString(BatchEnd end) noexcept
-{
-    switch (end) {
-    case BatchEnd::Completed:
-        return "completed";
-    case BatchEnd::Failed:
-        return "failed";
-    case BatchEnd::Refused:
-        return "refused";
-    case BatchEnd::Broken:
-        return "broken";
-    case BatchEnd::Cancelled:
-        return "cancelled";
-    }
-    return "broken";
-}
-
 bool BatchScheduler::Position::operator<(const Position &other) const noexcept
 {
     return std::tie(isLate, priority, isUnstarted, arrived, number)
