--- a/tests/fakes/virtualhosts.h
+++ b/tests/fakes/virtualhosts.h
@@ -3,6 +3,7 @@
 #include "batch/batchhost.h"
 #include "batch/batchmetrics.h"
 #include "fakes/loopexecutors.h"
+#include "fakes/testjob.h"
 #include "fakes/unusedport.h"
 #include "loop/timerqueue.h"
 
@@ -91,18 +92,7 @@
 
     [[nodiscard]] BatchJob makeJob(const std::string &id, Duration timeout) const
     {
-        RoutePolicy policy;
-        policy.route = "quotes";
-        policy.service = "desk";
-        policy.maxAttempts = 2;
-        BatchJob batch;
-        batch.id = id;
-        batch.route = std::make_shared<const RoutePolicy>(policy);
-        batch.spec = std::make_shared<const std::string>("spec");
-        batch.tasks.assign(1, {Demand, std::chrono::milliseconds(50)});
-        batch.arrived = m_clock.now();
-        batch.deadline = batch.arrived + timeout;
-        return batch;
+        return testJob(m_clock, id, 1, Demand, timeout);
     }
 
     /// The executor that runs the task of \p job; empty if none does.
--- a/tests/system/batch/test_batchhosts.cpp
+++ b/tests/system/batch/test_batchhosts.cpp
@@ -2,6 +2,7 @@
 #include "batch/batchmetrics.h"
 #include "fakes/loopexecutors.h"
 #include "fakes/partitionedexecutors.h"
+#include "fakes/testjob.h"
 #include "fakes/unusedport.h"
 #include "loop/timerqueue.h"
 
@@ -18,6 +19,7 @@
 using anvilmill::tests::formatEndpoint;
 using anvilmill::tests::LoopExecutors;
 using anvilmill::tests::PartitionedExecutors;
+using anvilmill::tests::testJob;
 using anvilmill::tests::unusedEndpoint;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -352,18 +354,7 @@
     std::optional<JobNumber> submit(BatchHost &host, const std::string &id, std::size_t tasks,
                                     Duration wait)
     {
-        RoutePolicy policy;
-        policy.route = "quotes";
-        policy.service = "desk";
-        policy.maxAttempts = 2;
-        BatchJob job;
-        job.id = id;
-        job.route = std::make_shared<const RoutePolicy>(policy);
-        job.spec = std::make_shared<const std::string>("spec");
-        job.tasks.assign(tasks, {Demand, milliseconds(50)});
-        job.arrived = m_clock.now();
-        job.deadline = job.arrived + wait;
-        return host.submit(std::move(job),
+        return host.submit(testJob(m_clock, id, tasks, Demand, wait),
                            [this, id](const BatchResult &result) { m_results[id] = result; });
     }
 
--- a/tests/system/batch/test_jobrelay.cpp
+++ b/tests/system/batch/test_jobrelay.cpp
@@ -1,6 +1,7 @@
 #include "batch/batchhost.h"
 #include "batch/batchmetrics.h"
 #include "fakes/loopexecutors.h"
+#include "fakes/testjob.h"
 #include "fakes/unusedport.h"
 #include "loop/timerqueue.h"
 
@@ -17,6 +18,7 @@
 using namespace anvilmill::daemon;
 using anvilmill::tests::formatEndpoint;
 using anvilmill::tests::LoopExecutors;
+using anvilmill::tests::testJob;
 using anvilmill::tests::unusedEndpoint;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -203,17 +205,7 @@
     std::optional<JobNumber> submit(const std::string &id, std::size_t tasks, Duration wait,
                                     const Resources &demand = Demand)
     {
-        RoutePolicy policy;
-        policy.route = "quotes";
-        policy.service = "desk";
-        policy.maxAttempts = 2;
-        BatchJob job;
-        job.id = id;
-        job.route = std::make_shared<const RoutePolicy>(policy);
-        job.spec = std::make_shared<const std::string>("spec");
-        job.tasks.assign(tasks, {demand, milliseconds(50)});
-        job.arrived = m_clock.now();
-        job.deadline = job.arrived + wait;
+        BatchJob job = testJob(m_clock, id, tasks, demand, wait);
         job.isAbandoned = [this] { return m_isAbandoned; };
         return m_hosts[Weak]->submit(std::move(job), [this, id](const BatchResult &result) {
             CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_results.count(id));
