Discard the capacity reports of a silent holder

Tasks were placed on the executors of a frozen holder for as long as its reports counted as recent, 2.5 s with more than 9 hosts, though its silence had been noticed after 1.2 s. Their jobs waited in vain until their deadline.

Change: when a holder counts as silent, its reports are discarded, until its next one.

Test: HostLossTest::noStartIsRequestedFromAHolderThatIsSilent, in virtual time, failed before.

--- a/include/anvilmill/scheduling/capacityview.h
+++ b/include/anvilmill/scheduling/capacityview.h
@@ -55,6 +55,9 @@
     /// \brief Applies a report; unknown executors are ignored.
     void report(const CapacityReport &report);
 
+    /// \brief Discards the reports of a holder that is silent; it offers no capacity until its next one.
+    void discardReportsOf(const std::string &holder);
+
     /// \brief Counts \p demand as used until releaseReservation().
     void reserve(std::size_t executor, const Resources &demand);
 
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -192,6 +192,7 @@
         if (host.name == m_settings.name || m_peers.overdue(host.name) < limit)
             continue;
         setWaiting(host.name, std::nullopt);
+        m_view.discardReportsOf(host.name);
         if (m_peers.mayRedial(host.name))
             m_mesh.redial(host.name);
         abandonRunsAt(host.name, m_peers.lastReceived(host.name));
--- a/src/lib/scheduling/capacityview.cpp
+++ b/src/lib/scheduling/capacityview.cpp
@@ -244,6 +244,14 @@
     });
 }
 
+void CapacityView::discardReportsOf(const std::string &holder)
+{
+    for (Entry &entry : m_entries) {
+        if (entry.holder == holder)
+            entry.hasReport = false;
+    }
+}
+
 std::string CapacityView::holderOf(std::size_t executor) const
 {
     const Entry &entry = m_entries[executor];
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST_SUITE(HostLossTest);
     CPPUNIT_TEST(runOfAFrozenHostEndsWhileOthersRequestStartsFromIt);
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughStopsAreLost);
+    CPPUNIT_TEST(noStartIsRequestedFromAHolderThatIsSilent);
     CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
     CPPUNIT_TEST(jobIsStartedWhileAnyOfItsClientsIsConnected);
     CPPUNIT_TEST_SUITE_END();
@@ -83,6 +84,28 @@
         }
     }
 
+    // Hosts went on placing tasks on the executors of a frozen holder for as long as its reports counted as
+    // recent, and the jobs waited in vain until their deadline.
+    void noStartIsRequestedFromAHolderThatIsSilent()
+    {
+        constexpr std::size_t HostCount = 12;
+        VirtualHosts hosts(HostCount, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        for (std::size_t i = 1; i < HostCount; ++i) {
+            const std::string host = "h" + std::to_string(i);
+            submit(hosts, host, "long", hosts.capacityOf(host));
+        }
+        hosts.runFor(seconds(1));
+        hosts.freeze("h0");
+        const JobNumber first = hosts.submit("h1", "first", JobTimeout);
+        CPPUNIT_ASSERT(hosts.host("h1").hasStarted(first));
+        hosts.runFor(ResubmissionDelay);
+        const JobNumber second = hosts.submit("h1", "second", JobTimeout);
+        hosts.runFor(milliseconds(20));
+        CPPUNIT_ASSERT(!hosts.host("h1").hasStarted(second));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.host("h1").waitingJobs("quotes"));
+    }
+
     // review/2: a holder that had been frozen for seconds carried out requests to start tasks whose jobs
     // had long been given up, since reading what had waited for it took longer than it paused.
     void startsThatWaitedAtAFrozenHolderAreNotCarriedOut()
