Virtual hosts: memberships of single hosts, partitions from executors, late starts

A host of the virtual fleet can read a membership alone, lose the executors, and an executor can carry out a start late with a lease that counts from then. A task's active runs are counted whatever their numbers.

--- a/tests/fakes/fakeexecutor.h
+++ b/tests/fakes/fakeexecutor.h
@@ -100,6 +100,15 @@
         return m_runs.count(run) > 0;
     }
 
+    /// The active runs of a task, whatever their numbers.
+    [[nodiscard]] std::size_t runsOf(const std::string &task)
+    {
+        endLapsedRuns();
+        return static_cast<std::size_t>(
+                std::count_if(m_runs.begin(), m_runs.end(),
+                              [&](const auto &run) { return run.first.task == task; }));
+    }
+
     /// Highest CPU use so far, in thousandths of a core.
     [[nodiscard]] std::int64_t highestUse() const { return m_highestUse; }
     [[nodiscard]] const Resources &capacity() const { return m_capacity; }
--- a/tests/fakes/loopexecutors.h
+++ b/tests/fakes/loopexecutors.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace anvilmill::tests {
 
@@ -34,6 +35,9 @@
     /// The next \p count starts take no effect and get no answer.
     void dropStarts(int count) { m_startsToDrop = count; }
 
+    /// The next start gets no answer and is carried out after \p delay, from when its lease counts.
+    void delayNextStart(Duration delay) { m_nextStartDelay = delay; }
+
     /// From now on, stops take no effect and get no answer.
     void dropStops() { m_dropsStops = true; }
 
@@ -53,14 +57,15 @@
             return;
         }
         FakeExecutor &fake = executor(registration.id);
-        const StartAnswer answer = fake.start(order, {1, 1, 0});
-        if (answer == StartAnswer::Started) {
-            ++m_starts;
-            m_timers.after(m_runTime, [&fake, run = order.run] {
-                if (fake.runs(run))
-                    fake.end(run, RunOutcome::Done);
-            });
+        if (m_nextStartDelay > Duration{}) {
+            const Duration delay = std::exchange(m_nextStartDelay, Duration{});
+            StartOrder late = order;
+            if (late.leaseUntil)
+                *late.leaseUntil += std::chrono::duration_cast<ExecutorTime>(delay);
+            m_timers.after(delay, [this, &fake, late] { (void)carryOut(fake, late); });
+            return;
         }
+        const StartAnswer answer = carryOut(fake, order);
         m_timers.post([handler = std::move(handler), answer] { handler(answer); });
     }
 
@@ -92,11 +97,25 @@
     void disconnect(const std::string &) override { }
 
 private:
+    StartAnswer carryOut(FakeExecutor &fake, const StartOrder &order)
+    {
+        const StartAnswer answer = fake.start(order, {1, 1, 0});
+        if (answer == StartAnswer::Started) {
+            ++m_starts;
+            m_timers.after(m_runTime, [&fake, run = order.run] {
+                if (fake.runs(run))
+                    fake.end(run, RunOutcome::Done);
+            });
+        }
+        return answer;
+    }
+
     const Clock &m_clock;
     daemon::TimerQueue &m_timers;
     std::map<std::string, std::unique_ptr<FakeExecutor>> m_executors;
     Duration m_runTime = std::chrono::milliseconds(50);
     Duration m_longestHold = std::chrono::milliseconds(10);
+    Duration m_nextStartDelay{};
     int m_startsToDrop = 0;
     int m_starts = 0;
     int m_stopsToDrop = 0;
--- a/tests/fakes/virtualhosts.h
+++ b/tests/fakes/virtualhosts.h
@@ -3,6 +3,7 @@
 #include "batch/batchhost.h"
 #include "batch/batchmetrics.h"
 #include "fakes/loopexecutors.h"
+#include "fakes/partitionedexecutors.h"
 #include "fakes/testjob.h"
 #include "fakes/unusedport.h"
 #include "loop/timerqueue.h"
@@ -84,6 +85,19 @@
     void slowDown(const std::string &name) { m_hosts.at(name)->speed = Speed::Slow; }
     void resume(const std::string &name) { m_hosts.at(name)->speed = Speed::Normal; }
 
+    /// From now on, the orders of a host to the executors are lost.
+    void partitionFromExecutors(const std::string &name)
+    {
+        m_hosts.at(name)->partition.partition();
+    }
+
+    /// Lets a host read a membership that lacks some hosts.
+    void adoptWithout(const std::string &name, const std::set<std::string> &missing,
+                      StoreVersion revision)
+    {
+        host(name).setMembership(membershipWithout(missing, revision));
+    }
+
     /// Submits a job of one task.
     JobNumber submit(const std::string &name, const std::string &job, Duration timeout)
     {
@@ -105,10 +119,22 @@
         return {};
     }
 
-    /// The host that holds \p executor.
-    [[nodiscard]] std::string holderOf(const std::string &executor) const
+    /// The runs of the task of \p job that are active, of all submissions together.
+    [[nodiscard]] std::size_t activeRuns(const std::string &job)
     {
-        return HolderAssignment(m_membership).holderOf(executor, "dc").value_or("");
+        std::size_t active = 0;
+        for (const std::string &id : m_executorIds)
+            active += m_executors->executor(id).runsOf(job + ".0.0.0");
+        return active;
+    }
+
+    /// The host that holds \p executor under a membership that lacks some hosts.
+    [[nodiscard]] std::string holderOf(const std::string &executor,
+                                       const std::set<std::string> &missing = {}) const
+    {
+        return HolderAssignment(membershipWithout(missing, m_membership.revision))
+                .holderOf(executor, "dc")
+                .value_or("");
     }
 
     /// The tasks that the executors held by \p name can run at a time.
@@ -184,16 +210,30 @@
         Host(const Clock &clock, ExecutorCalls &executorCalls)
             : timers(loop, clock)
             , executors(executorCalls, loop)
+            , partition(executors, timers)
         {
         }
 
         boost::asio::io_context loop{1};
         daemon::TimerQueue timers;
         HostExecutors executors;
+        PartitionedExecutors partition;
         std::unique_ptr<daemon::BatchHost> batchHost;
         Speed speed = Speed::Normal;
     };
 
+    [[nodiscard]] HostMembership membershipWithout(const std::set<std::string> &missing,
+                                                   StoreVersion revision) const
+    {
+        HostMembership membership;
+        membership.revision = revision;
+        for (const PeerHost &host : m_membership.hosts) {
+            if (missing.count(host.name) == 0)
+                membership.hosts.push_back(host);
+        }
+        return membership;
+    }
+
     void addHost(const std::string &name)
     {
         auto host = std::make_unique<Host>(m_clock, *m_executors);
@@ -202,7 +242,7 @@
         settings.dataCentre = "dc";
         settings.meshAddress = unusedEndpoint();
         host->batchHost = std::make_unique<daemon::BatchHost>(
-                host->loop, host->timers, m_clock, m_random, host->executors, m_metrics, settings);
+                host->loop, host->timers, m_clock, m_random, host->partition, m_metrics, settings);
         for (const std::string &id : m_executorIds) {
             ExecutorRegistration registration;
             registration.id = id;
