Match replies to start requests by the job's number

A client that disconnects and submits its job to the same host again may get its task run twice at the same time.

Cause: a holder's reply named task and run, which both submissions have in common. The refusal of the first request, which had waited at a frozen holder, erased the record of the second submission's run elsewhere, and the task was started once more. A message about something else was taken for knowledge.

Change: requests, replies, claims and ends carry the requesting host's number of the job, which no two submissions share. A reply to another submission is ignored and logged (run.replyIgnored). A holder keeps the number with the run's owner, so that a claim isn't answered with the end of an earlier submission either. The number is optional on the wire.

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -194,21 +194,22 @@
 void BatchHost::startTask(const TaskStart &start)
 {
     const std::string holder = reporterOf(start.executor);
-    m_placed[start.run] = {start.executor, start.demand, holder, m_clock.now(), ""};
+    m_placed[start.run] = {start.task.job, start.executor, start.demand, holder, m_clock.now(), ""};
     if (holder == m_settings.name) {
         startHere(start);
         return;
     }
     Frame *const frame = m_mesh.frameFor(holder);
     if (!frame) {
-        m_timers.post([this, run = start.run] {
-            startRefused(run);
+        m_timers.post([this, run = start.run, job = start.task.job] {
+            startAnswered(run, job, false);
             schedulePlacement();
         });
         return;
     }
     MeshStart message;
     message.executor = m_view.idOf(start.executor);
+    message.job = static_cast<std::int64_t>(start.task.job);
     setRun(message, start.run);
     setResources(message, start.demand);
     message.spec = mesh::specIndex(*frame, *start.spec);
@@ -220,20 +221,33 @@
 {
     const bool isAccepted =
             m_holder.start(m_view.idOf(start.executor), start.run, start.demand, *start.spec);
-    m_timers.post([this, run = start.run, isAccepted] {
+    m_timers.post([this, run = start.run, job = start.task.job, isAccepted] {
         capacityChanged();
-        if (isAccepted) {
-            m_scheduler.startAccepted(run);
-            return;
-        }
-        startRefused(run);
+        startAnswered(run, job, isAccepted);
         schedulePlacement();
     });
 }
 
-void BatchHost::startRefused(const RunId &run)
+void BatchHost::startAnswered(const RunId &run, JobNumber job, bool isAccepted)
 {
-    m_placed.erase(run);
+    const auto placed = m_placed.find(run);
+    if (placed == m_placed.end())
+        return;
+    if (placed->second.job != job) {
+        m_metrics.runDecided("replyIgnored");
+        LogEvent("run.replyIgnored")
+                .with("task", run.task)
+                .with("run", run.number)
+                .with("job", placed->second.job)
+                .with("repliedTo", job)
+                .with("accepted", isAccepted);
+        return;
+    }
+    if (isAccepted) {
+        m_scheduler.startAccepted(run);
+        return;
+    }
+    m_placed.erase(placed);
     m_scheduler.startRefused(run);
 }
 
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -117,6 +117,7 @@
 private:
     struct Placed
     {
+        JobNumber job = 0;
         std::size_t executor = 0;
         Resources demand;
         /// The host that was last requested to start or adopt the run, and the time of that
@@ -128,6 +129,16 @@
         std::string formerHolder;
     };
 
+    /// The end of a run as reported by the holder of its executor.
+    struct ReportedEnd
+    {
+        RunEnd end;
+        std::string executor;
+        std::string reporter;
+        /// The job of the request or claim; 0 if the reporter knows neither.
+        JobNumber job = 0;
+    };
+
     using Frame = wire::meshframe::MeshFrame;
 
     void startTask(const TaskStart &start) override;
@@ -141,11 +152,10 @@
     [[nodiscard]] std::string reporterOf(std::size_t executor) const;
     [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
     void startHere(const TaskStart &start);
-    void startRefused(const RunId &run);
+    void startAnswered(const RunId &run, JobNumber job, bool isAccepted);
     void runEnded(const RunEnd &end, const std::string &executor);
-    void handleEnd(const RunEnd &end, const std::string &executor, const std::string &reporter);
-    [[nodiscard]] bool isEndOf(const Placed &placed, const RunEnd &end, const std::string &executor,
-                               const std::string &reporter) const;
+    void handleEnd(const ReportedEnd &reported);
+    [[nodiscard]] bool isEndOf(const Placed &placed, const ReportedEnd &reported) const;
     void capacityChanged();
     void collectCapacityChanges();
     void reportWaiting();
@@ -162,7 +172,7 @@
     void handleClaims(const Frame &frame);
     void handleClaim(const RunClaim &claim);
     void handleStops(const Frame &frame);
-    void sendEnd(const std::string &host, const RunEnd &end, const std::string &executor);
+    void sendEnd(const RunOwner &owner, const RunEnd &end, const std::string &executor);
     void hostConnected(const std::string &host);
     void claimMovedRuns();
     void addClaim(Frame &frame, const RunId &run, const Placed &placed) const;
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -10,6 +10,7 @@
 namespace anvilmill::daemon {
 
 using mesh::append;
+using mesh::jobNumberOf;
 using mesh::resourcesOf;
 using mesh::runOf;
 using mesh::setResources;
@@ -31,30 +32,30 @@
 
 void BatchHost::runEnded(const RunEnd &end, const std::string &executor)
 {
-    const std::string owner = m_runs.ownerOf(end.run, executor);
+    const RunOwner owner = m_runs.ownerOf(end.run, executor);
     m_runs.ended(end, executor);
-    if (!owner.empty()) {
+    if (!owner.host.empty()) {
         sendEnd(owner, end, executor);
         return;
     }
-    handleEnd(end, executor, m_settings.name);
+    handleEnd({end, executor, m_settings.name});
     schedulePlacement();
 }
 
-void BatchHost::handleEnd(const RunEnd &end, const std::string &executor,
-                          const std::string &reporter)
+void BatchHost::handleEnd(const ReportedEnd &reported)
 {
+    const RunEnd &end = reported.end;
     const auto placed = m_placed.find(end.run);
     if (placed == m_placed.end())
         return;
-    if (!isEndOf(placed->second, end, executor, reporter)) {
+    if (!isEndOf(placed->second, reported)) {
         m_metrics.runDecided("endIgnored");
         LogEvent("run.endIgnored")
                 .with("task", end.run.task)
                 .with("run", end.run.number)
-                .with("executor", executor)
+                .with("executor", reported.executor)
                 .with("placedOn", m_view.idOf(placed->second.executor))
-                .with("reporter", reporter)
+                .with("reporter", reported.reporter)
                 .with("holder", placed->second.holder)
                 .with("outcome", asString(end.outcome))
                 .with("inferred", end.isInferred);
@@ -64,24 +65,28 @@
     m_scheduler.runEnded(end);
 }
 
-/// True if \p end is that of the placed run. An end on another executor belongs to an earlier attempt
-/// of the job, whose runs have the same identifiers. Only the present holder can infer an end, since
-/// it may be renewing the lease; right after a claim, it infers from what it knew before.
-bool BatchHost::isEndOf(const Placed &placed, const RunEnd &end, const std::string &executor,
-                        const std::string &reporter) const
+/// True if the end is that of the placed run. An end on another executor, or of another job, belongs to
+/// an earlier submission of the job, whose runs have the same identifiers. Only the present holder can
+/// infer an end, since it may be renewing the lease; right after a claim, it infers from what it knew
+/// before.
+bool BatchHost::isEndOf(const Placed &placed, const ReportedEnd &reported) const
 {
-    if (m_view.idOf(placed.executor) != executor)
+    if (m_view.idOf(placed.executor) != reported.executor
+        || (reported.job != 0 && reported.job != placed.job))
         return false;
     const bool isNewHolder = !placed.formerHolder.empty()
                              && m_clock.now() - placed.requested < m_settings.hold.longestLease;
-    return !end.isInferred || (placed.holder == reporter && !isNewHolder);
+    return !reported.end.isInferred || (placed.holder == reported.reporter && !isNewHolder);
 }
 
-void BatchHost::sendEnd(const std::string &host, const RunEnd &end, const std::string &executor)
+void BatchHost::sendEnd(const RunOwner &owner, const RunEnd &end, const std::string &executor)
 {
-    Frame *const frame = m_mesh.frameFor(host);
-    if (frame)
-        append(frame->ends, mesh::endMessage(end, executor));
+    Frame *const frame = m_mesh.frameFor(owner.host);
+    if (!frame)
+        return;
+    MeshEnd message = mesh::endMessage(end, executor);
+    mesh::setJob(message, owner.job);
+    append(frame->ends, std::move(message));
 }
 
 void BatchHost::received(const Frame &frame)
@@ -124,13 +129,10 @@
 void BatchHost::handleReplies(const Frame &frame)
 {
     for (const MeshReply &reply : frame.replies.value_or(std::vector<MeshReply>())) {
-        if (reply.accepted)
-            m_scheduler.startAccepted(runOf(reply));
-        else
-            startRefused(runOf(reply));
+        startAnswered(runOf(reply), jobNumberOf(reply), reply.accepted);
     }
     for (const MeshEnd &message : frame.ends.value_or(std::vector<MeshEnd>())) {
-        handleEnd(mesh::endOf(message), message.executor, frame.host);
+        handleEnd({mesh::endOf(message), message.executor, frame.host, jobNumberOf(message)});
     }
 }
 
@@ -147,12 +149,13 @@
                 hasSpec && !isOutdated && !isInQuietPeriod()
                 && m_holder.start(start.executor, run, resourcesOf(start), (*frame.specs)[index]);
         if (isAccepted)
-            m_runs.setOwner(run, frame.host, start.executor);
+            m_runs.setOwner(run, {frame.host, jobNumberOf(start)}, start.executor);
         Frame *const answer = m_mesh.frameFor(frame.host);
         if (!answer)
             continue;
         MeshReply reply;
         setRun(reply, run);
+        reply.job = start.job;
         reply.accepted = isAccepted;
         append(answer->replies, std::move(reply));
         // The capacity is sent with the reply, so that the receiver never counts the run twice.
@@ -169,12 +172,12 @@
 void BatchHost::handleClaim(const RunClaim &claim)
 {
     const char *outcome = "early";
-    if (const auto end = m_runs.endOf(claim.run, claim.host, claim.executor)) {
+    if (const auto end = m_runs.endOf(claim.run, claim.owner, claim.executor)) {
         outcome = "ended";
-        sendEnd(claim.host, *end, claim.executor);
+        sendEnd(claim.owner, *end, claim.executor);
     } else if (m_holder.adopt(claim.executor, claim.run, claim.demand)) {
         outcome = "adopted";
-        m_runs.setOwner(claim.run, claim.host, claim.executor);
+        m_runs.setOwner(claim.run, claim.owner, claim.executor);
     } else {
         m_earlyClaims.add(claim);
     }
@@ -182,7 +185,7 @@
             .with("task", claim.run.task)
             .with("run", claim.run.number)
             .with("executor", claim.executor)
-            .with("host", claim.host)
+            .with("host", claim.owner.host)
             .with("outcome", outcome);
 }
 
@@ -192,7 +195,10 @@
 void BatchHost::handleClaims(const Frame &frame)
 {
     for (const MeshClaim &message : frame.claims.value_or(std::vector<MeshClaim>()))
-        handleClaim({runOf(message), message.executor, resourcesOf(message), frame.host});
+        handleClaim({runOf(message),
+                     message.executor,
+                     resourcesOf(message),
+                     {frame.host, jobNumberOf(message)}});
     if (!frame.areAllClaims.value_or(false))
         return;
     std::set<RunId> claimed;
@@ -261,6 +267,7 @@
     MeshClaim message;
     message.executor = m_view.idOf(placed.executor);
     setRun(message, run);
+    mesh::setJob(message, placed.job);
     setResources(message, placed.demand);
     append(frame.claims, std::move(message));
 }
--- a/src/daemon/batch/earlyclaims.h
+++ b/src/daemon/batch/earlyclaims.h
@@ -3,6 +3,7 @@
 #include "anvilmill/clock.h"
 #include "anvilmill/executor/resources.h"
 #include "anvilmill/executor/run.h"
+#include "batch/runowner.h"
 
 #include <deque>
 #include <string>
@@ -16,7 +17,7 @@
     RunId run;
     std::string executor;
     Resources demand;
-    std::string host;
+    RunOwner owner;
 };
 
 /// \brief Claims that arrived before this host read the membership under which it holds the
--- a/src/daemon/batch/meshmessages.h
+++ b/src/daemon/batch/meshmessages.h
@@ -2,6 +2,7 @@
 
 #include "anvilmill/executor/resources.h"
 #include "anvilmill/executor/run.h"
+#include "anvilmill/job.h"
 #include "anvilmill/scheduling/capacityview.h"
 
 #include <meshframe.h>
@@ -23,6 +24,20 @@
     return {message.task, static_cast<std::uint64_t>(message.run)};
 }
 
+/// \brief The requesting host's number of the job; 0 if the message names none.
+template <typename Message>
+[[nodiscard]] JobNumber jobNumberOf(const Message &message)
+{
+    return static_cast<JobNumber>(message.job.value_or(0));
+}
+
+template <typename Message>
+void setJob(Message &message, JobNumber job)
+{
+    if (job != 0)
+        message.job = static_cast<std::int64_t>(job);
+}
+
 template <typename Message>
 [[nodiscard]] Resources resourcesOf(const Message &message)
 {
--- a/src/daemon/batch/runregistry.cpp
+++ b/src/daemon/batch/runregistry.cpp
@@ -16,9 +16,9 @@
 {
 }
 
-void RunRegistry::setOwner(const RunId &run, const std::string &host, const std::string &executor)
+void RunRegistry::setOwner(const RunId &run, const RunOwner &owner, const std::string &executor)
 {
-    m_owners[{run, executor}] = host;
+    m_owners[{run, executor}] = owner;
     m_ends.erase({run, executor});
 }
 
@@ -26,7 +26,7 @@
 {
     std::vector<std::pair<RunId, std::string>> runs;
     for (const auto &[key, owner] : m_owners) {
-        if (owner == host)
+        if (owner.host == host)
             runs.push_back(key);
     }
     return runs;
@@ -36,14 +36,14 @@
 {
     std::set<std::string> hosts;
     for (const auto &[key, owner] : m_owners)
-        hosts.insert(owner);
+        hosts.insert(owner.host);
     return hosts;
 }
 
-std::string RunRegistry::ownerOf(const RunId &run, const std::string &executor) const
+RunOwner RunRegistry::ownerOf(const RunId &run, const std::string &executor) const
 {
     const auto found = m_owners.find({run, executor});
-    return found == m_owners.end() ? std::string() : found->second;
+    return found == m_owners.end() ? RunOwner() : found->second;
 }
 
 void RunRegistry::ended(const RunEnd &end, const std::string &executor)
@@ -59,11 +59,11 @@
     }
 }
 
-std::optional<RunEnd> RunRegistry::endOf(const RunId &run, const std::string &host,
+std::optional<RunEnd> RunRegistry::endOf(const RunId &run, const RunOwner &owner,
                                          const std::string &executor) const
 {
     const auto found = m_ends.find({run, executor});
-    if (found == m_ends.end() || found->second.host != host)
+    if (found == m_ends.end() || !(found->second.owner == owner))
         return std::nullopt;
     return found->second.end;
 }
--- a/src/daemon/batch/runregistry.h
+++ b/src/daemon/batch/runregistry.h
@@ -2,6 +2,7 @@
 
 #include "anvilmill/clock.h"
 #include "anvilmill/executor/run.h"
+#include "batch/runowner.h"
 
 #include <cstddef>
 #include <deque>
@@ -25,8 +26,8 @@
     /// Precondition: \p clock outlives the registry.
     explicit RunRegistry(const Clock &clock);
 
-    /// \brief Records that \p host requested the run on \p executor.
-    void setOwner(const RunId &run, const std::string &host, const std::string &executor);
+    /// \brief Records that \p owner requested the run on \p executor.
+    void setOwner(const RunId &run, const RunOwner &owner, const std::string &executor);
 
     /// \brief Removes a run whose executor has another holder by now.
     void remove(const RunId &run, const std::string &executor) { m_owners.erase({run, executor}); }
@@ -37,17 +38,17 @@
     /// \brief The hosts whose requested runs have not all ended.
     [[nodiscard]] std::set<std::string> owners() const;
 
-    /// \brief The host that requested the run on \p executor; empty if none did.
-    [[nodiscard]] std::string ownerOf(const RunId &run, const std::string &executor) const;
+    /// \brief The owner of the run on \p executor; without a host if there is none.
+    [[nodiscard]] RunOwner ownerOf(const RunId &run, const std::string &executor) const;
 
     /// \brief Records an end and discards old ones.
     void ended(const RunEnd &end, const std::string &executor);
 
-    /// \brief The end of the run that \p host requested on \p executor.
+    /// \brief The end of the run that \p owner requested on \p executor.
     ///
-    /// If a client retries a job at another host, both submissions have runs with the same ids,
-    /// whose ends must be kept apart.
-    [[nodiscard]] std::optional<RunEnd> endOf(const RunId &run, const std::string &host,
+    /// If a client retries a job, both submissions have runs with the same ids, whose ends must be
+    /// kept apart.
+    [[nodiscard]] std::optional<RunEnd> endOf(const RunId &run, const RunOwner &owner,
                                               const std::string &executor) const;
 
 private:
@@ -57,11 +58,11 @@
     struct Ended
     {
         RunEnd end;
-        std::string host;
+        RunOwner owner;
     };
 
     const Clock &m_clock;
-    std::map<Key, std::string> m_owners;
+    std::map<Key, RunOwner> m_owners;
     std::map<Key, Ended> m_ends;
     std::deque<std::pair<MonotonicTime, Key>> m_order;
 };
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,6 +33,7 @@
     CPPUNIT_TEST(noStartIsRequestedFromAHolderThatIsSilent);
     CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
     CPPUNIT_TEST(jobIsStartedWhileAnyOfItsClientsIsConnected);
+    CPPUNIT_TEST(replyToAnEarlierSubmissionDoesNotEndTheRunOfTheNext);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +168,32 @@
         CPPUNIT_ASSERT(!hosts.executorOf("wanted").empty());
     }
 
+    // A client disconnected and submitted its job to the same host again. The reply to the first request
+    // for the task, which had waited at a frozen holder, ended the record of its run elsewhere, and the
+    // task was started once more.
+    void replyToAnEarlierSubmissionDoesNotEndTheRunOfTheNext()
+    {
+        VirtualHosts hosts(3, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        submit(hosts, "h1", "long", hosts.capacityOf("h1") - 1);
+        const JobNumber last = hosts.submit("h1", "last", JobTimeout);
+        submit(hosts, "h2", "long", hosts.capacityOf("h2"));
+        hosts.runFor(seconds(1));
+        hosts.freeze("h0");
+        const JobNumber first = hosts.submit("h1", "job", JobTimeout);
+        CPPUNIT_ASSERT(hosts.host("h1").hasStarted(first));
+        hosts.runFor(milliseconds(50));
+        hosts.host("h1").cancel(first);
+        hosts.host("h1").cancel(last);
+        hosts.runFor(milliseconds(150));
+        hosts.submit("h1", "job", JobTimeout);
+        hosts.runFor(milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns("job"));
+        hosts.resume("h0");
+        hosts.runFor(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns("job"));
+    }
+
 private:
     static void submit(VirtualHosts &hosts, const std::string &host, const std::string &prefix,
                        int jobs)
