Never take a start without an answer as lapsed

Cause: a holder that didn't reach an executor took all runs there as over 1.32 s after its last request of a lease. That bounds runs that exist. A start without an answer may be carried out at any later time, also with a lease that counts from then, as long as the executor has seen no higher fence; a partition that begins right after the start keeps the raised fence away. No time is long enough.

Change: such a start stays unconfirmed until a hold is answered under a raised fence. Ruled out: a longer time, since there is no bound. Cost: its job waits, at most until its deadline, usually 1.5 s after it arrived; a run that was started elsewhere after 1.32 s rarely met that.

Evidence: HeldExecutorTest::startWithoutAnswerIsNotOverBeforeTheExecutorAnswers failed before (reported as lapsed, then carried out). unconfirmedStartIsNotBlamedForACrash took the lapse of such a start for granted; it now checks that the start isn't blamed when the restarted executor has answered, and that the confirmed run beside it is the one that lapses.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -202,7 +202,8 @@
 
     /// \brief Handles a hold without an answer; returns the runs whose lease has certainly expired.
     ///
-    /// Returns none before a hold of this holder was answered, since an earlier holder that still
+    /// A start without an answer isn't among them: the executor may carry it out at any later time,
+    /// until it has seen a higher fence. Returns none before a hold of this holder was answered, since an earlier holder that still
     /// reaches the executor may be renewing the lease. \p isClosedByExecutor is that of the reply: an
     /// executor that closes its connections and answers nothing more has crashed.
     [[nodiscard]] std::vector<RunEnd> holdUnanswered(bool isClosedByExecutor = false);
@@ -244,6 +245,8 @@
 
     [[nodiscard]] std::optional<ExecutorTime> leaseUntil() const;
     [[nodiscard]] std::size_t unansweredStarts() const noexcept;
+    /// True if the executor may still carry out the order that started \p run.
+    [[nodiscard]] static bool mayStartLater(const Run &run) noexcept;
     /// True if a run may still be active that no host wants.
     [[nodiscard]] bool hasUnwantedRuns() const noexcept;
     void recordOutcome(const RunEnd &end);
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -375,16 +375,26 @@
             durationAs<Duration>(m_settings.longestLease * (1.0 + m_settings.largestClockDrift));
     if (!m_hasFenceBeenSeen || m_clock.now() < m_leaseRequested + lease + m_settings.maxTransit)
         return ended;
-    while (!m_runs.empty()) {
-        // A start that was not confirmed may never have reached the executor.
-        const bool wasRunning = m_runs.begin()->second.state == RunState::Running;
-        ended.push_back({m_runs.begin()->first, RunOutcome::Lapsed, std::nullopt,
-                         wasRunning && m_hasClosedConnection, true});
-        remove(m_runs.begin());
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        const auto next = std::next(run);
+        if (!mayStartLater(run->second)) {
+            const bool wasRunning = run->second.state == RunState::Running;
+            ended.push_back({run->first, RunOutcome::Lapsed, std::nullopt,
+                             wasRunning && m_hasClosedConnection, true});
+            remove(run);
+        }
+        run = next;
     }
     return ended;
 }
 
+// A claimed run of an earlier holder has no fence here. The executor rejects that holder's orders once it
+// has seen a fence of this one.
+bool HeldExecutor::mayStartLater(const Run &run) noexcept
+{
+    return run.state == RunState::Starting || (run.state == RunState::Unconfirmed && run.fence > 0);
+}
+
 std::vector<RunId> HeldExecutor::orphans() const
 {
     std::vector<RunId> found;
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(singleLostStartsDontReduceCapacity);
     CPPUNIT_TEST(startsLostOnOneConnectionCountOnce);
     CPPUNIT_TEST(drainingExecutorGetsNoStarts);
+    CPPUNIT_TEST(startWithoutAnswerIsNotOverBeforeTheExecutorAnswers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -542,9 +543,15 @@
     // crash and a start on an executor that had crashed before.
     void unconfirmedStartIsNotBlamedForACrash()
     {
+        start("running");
         const auto order = m_held->start(runOf("a"), Task);
         CPPUNIT_ASSERT(m_held->startUnanswered(*order));
-        CPPUNIT_ASSERT(!lapseAfterClosedConnection().hasExecutorCrashed);
+        CPPUNIT_ASSERT(lapseAfterClosedConnection().run == runOf("running"));
+        m_executor->restart();
+        const auto ends = hold(*m_held);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().run == runOf("a"));
+        CPPUNIT_ASSERT(!ends.front().hasExecutorCrashed);
     }
 
     void executorThatClosesItsConnectionAndStaysSilentHasCrashed()
@@ -619,6 +626,25 @@
         CPPUNIT_ASSERT(m_held->freeCapacity() == Resources{});
     }
 
+    // An executor was cut off right after it had received a start, which it carried out seconds later. By
+    // then the task had been started elsewhere, 1.3 s after the start was sent.
+    void startWithoutAnswerIsNotOverBeforeTheExecutorAnswers()
+    {
+        const auto order = m_held->start(runOf("a"), Task);
+        CPPUNIT_ASSERT(m_held->startUnanswered(*order));
+        for (int i = 0; i < 20; ++i) {
+            m_clock->advance(milliseconds(100));
+            CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
+        }
+        StartOrder late = *order;
+        *late.leaseUntil += milliseconds(2000);
+        CPPUNIT_ASSERT(m_executor->start(late, Task) == StartAnswer::Started);
+        CPPUNIT_ASSERT(hold(*m_held).empty());
+        m_executor->end(runOf("a"), RunOutcome::Done);
+        m_clock->advance(milliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold(*m_held).size());
+    }
+
 private:
     [[nodiscard]] std::unique_ptr<HeldExecutor> makeHeld() const
     {
