Don't give up the runs at a silent holder by time

Cause: a job's host took the runs at a silent holder as over 4 s after its last message. The sum behind that covers leases, not the last start that the holder sent, which may be carried out later, and it held only if no former holder of the executor was alive. runsEndedAfter had no bound to be derived from.

Change: removed. The next holder, 4.5 s after the loss of the former one, raises the fence and reports what the executor has; a holder that is reached again compares its records with the job's host anyway. A job waits for that, at most until its deadline.

--- a/include/anvilmill/executor/livenesstimeouts.h
+++ b/include/anvilmill/executor/livenesstimeouts.h
@@ -57,10 +57,6 @@
     /// request.
     [[nodiscard]] Duration maxRequestAge() const noexcept { return m_silentAfter / 2; }
 
-    /// \brief Time from the last message of a holder, or from the request of a run if that was later, to
-    /// the end of the runs that this host has there.
-    [[nodiscard]] Duration runsEndedAfter() const noexcept;
-
 private:
     /// From the detection of a silent host to the end of its runs, if no more stops get lost than
     /// MaxLostStops.
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -180,7 +180,6 @@
     void checkSilence();
     void endSharedWith(const std::string &host);
     void stopRunsOf(const std::string &owner);
-    void abandonRunsAt(const std::string &host, MonotonicTime lastReceived);
     void schedulePlacement();
     void placeAfterYielding();
     void place();
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -174,7 +174,9 @@
                 .with("cancelledJobs", cancelled);
 }
 
-// Runs and jobs may have come to be shared with a host that was silent already.
+// Runs and jobs may have come to be shared with a host that was silent already. Runs at a silent holder are
+// not given up: it may go on renewing their lease, and a start that it sent last may be carried out later.
+// Their ends are reported by it when it is reached again, or by the next holder.
 void BatchHost::checkSilence()
 {
     std::set<std::string> owners = m_runs.owners();
@@ -195,7 +197,6 @@
         m_view.discardReportsOf(host.name);
         if (m_peers.mayRedial(host.name))
             m_mesh.redial(host.name);
-        abandonRunsAt(host.name, m_peers.lastReceived(host.name));
     }
 }
 
@@ -215,28 +216,4 @@
                 .with("stoppedRuns", stopped);
 }
 
-void BatchHost::abandonRunsAt(const std::string &host, MonotonicTime lastReceived)
-{
-    std::vector<RunId> ended;
-    for (const auto &[run, placed] : m_placed) {
-        if (placed.holder == host
-            && m_clock.now() - std::max(placed.requested, lastReceived)
-                       >= m_timeouts.runsEndedAfter())
-            ended.push_back(run);
-    }
-    for (const RunId &run : ended) {
-        m_metrics.runDecided("abandoned");
-        LogEvent("run.abandoned", LogEvent::Level::Warning)
-                .with("task", run.task)
-                .with("run", run.number)
-                .with("executor", m_view.idOf(m_placed.at(run).executor))
-                .with("host", host)
-                .with("silent", m_clock.now() - lastReceived);
-        m_placed.erase(run);
-        m_scheduler.runEnded({run, RunOutcome::Lapsed, std::nullopt});
-    }
-    if (!ended.empty())
-        schedulePlacement();
-}
-
 } // namespace anvilmill::daemon
--- a/src/lib/executor/livenesstimeouts.cpp
+++ b/src/lib/executor/livenesstimeouts.cpp
@@ -33,17 +33,4 @@
            + m_settings.stopTime;
 }
 
-// This host goes on sending to a silent holder until it notices the silence and closes the connection.
-// From then on the holder doesn't hear from this host. If all stops get lost, the lease ends the runs.
-// The silence of a holder is looked for with each heartbeat, and counts from the first one after it was
-// sent a request.
-Duration LivenessTimeouts::runsEndedAfter() const noexcept
-{
-    const Duration noticedHere = HeartbeatInterval + m_silentAfter + HeartbeatInterval + LoopDelay;
-    const Duration noticedThere = m_silentAfter + CheckInterval + LoopDelay;
-    const auto lease = std::chrono::duration_cast<Duration>(m_hold.longestLease
-                                                            * (1.0 + m_hold.largestClockDrift));
-    return noticedHere + RoundTrip + noticedThere + m_hold.stopGrace + lease + m_hold.maxTransit;
-}
-
 } // namespace anvilmill
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
     CPPUNIT_TEST(jobIsStartedWhileAnyOfItsClientsIsConnected);
     CPPUNIT_TEST(replyToAnEarlierSubmissionDoesNotEndTheRunOfTheNext);
+    CPPUNIT_TEST(taskAtASilentHolderRunsOnceAlthoughItsStartIsCarriedOutLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,6 +195,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns("job"));
     }
 
+    // A start that gets no answer may be carried out seconds later. Its job's host took it as over 4 s after
+    // the last message of the holder, which had been frozen right after it sent the start.
+    void taskAtASilentHolderRunsOnceAlthoughItsStartIsCarriedOutLate()
+    {
+        VirtualHosts hosts(3, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        submit(hosts, "h1", "long", hosts.capacityOf("h1"));
+        submit(hosts, "h2", "long", hosts.capacityOf("h2") - 1);
+        const JobNumber last = hosts.submit("h2", "last", JobTimeout);
+        hosts.runFor(seconds(1));
+        hosts.executors().delayNextStart(milliseconds(4500));
+        hosts.submit("h1", "job", JobTimeout);
+        hosts.runFor(milliseconds(20));
+        hosts.freeze("h0");
+        hosts.host("h2").cancel(last);
+        std::size_t mostRuns = 0;
+        const auto step = [&] {
+            mostRuns = std::max(mostRuns, hosts.activeRuns("job"));
+            return false;
+        };
+        hosts.runUntil(step, milliseconds(5000));
+        for (const char *const name : {"h1", "h2"})
+            hosts.adoptWithout(name, {"h0"}, 2);
+        hosts.runUntil(step, seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mostRuns);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns("job"));
+    }
+
 private:
     static void submit(VirtualHosts &hosts, const std::string &host, const std::string &prefix,
                        int jobs)
