Limit leases by the last message of the hosts whose runs they cover

Cause: that the runs of a lost host end within 1.3 s rested on stops that arrive. A holder renewed the lease until it noticed the silence, and 0.2 s longer; and a new holder stopped the runs only 0.3 s after it had taken over.

Change: a holder requests no lease beyond 1,225 ms after the last message of each host whose runs it covers. Heartbeats come every 250 ms, so that this allows about the longest lease of 1 s while the host is alive. The bound no longer depends on stops, on who holds the executor, or on when the silence is noticed.

Evidence: HostLossTest::runOfAFrozenHostEndsAlthoughAllStopsAreLost and runOfAFrozenHostEndsAlthoughItsExecutorChangesItsHolder: the run was active after 1.3 s before, not after.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -109,7 +109,8 @@
 ///
 /// The lease covers all runs of the executor. It is renewed only while each of them is wanted: not
 /// before an inherited run is claimed, nor while the stop of a run is overdue. So an unwanted run ends
-/// within a known time even if no stop arrives.
+/// within a known time even if no stop arrives. For the same reason the caller limits the lease by the
+/// time since it last heard from the hosts that want the runs.
 ///
 /// Thread safety: one thread at a time.
 class HeldExecutor
@@ -155,8 +156,10 @@
     /// std::nullopt if both circuit breakers are closed.
     [[nodiscard]] std::optional<MonotonicTime> nextProbe() const noexcept;
 
-    /// \brief Reserves capacity for \p run; std::nullopt if it doesn't fit or may not start.
-    [[nodiscard]] std::optional<StartOrder> start(const RunId &run, const Resources &demand);
+    /// \brief Reserves capacity for \p run; std::nullopt if it doesn't fit, may not start, or
+    /// \p allowedLease isn't positive.
+    [[nodiscard]] std::optional<StartOrder> start(const RunId &run, const Resources &demand,
+                                                  Duration allowedLease = Duration::max());
 
     /// \brief Applies the answer to a start; returns the run's end if it will never run.
     [[nodiscard]] std::optional<RunEnd> startAnswered(const StartOrder &order, StartAnswer answer);
@@ -183,7 +186,10 @@
 
     /// \brief Returns the next hold, to be sent immediately. Its wait is zero until the executor is
     /// verified and while hasUnconfirmedStarts().
-    [[nodiscard]] HoldOrder nextHold(const HoldIntervals &intervals);
+    ///
+    /// It requests no longer lease than \p allowedLease, and none if that isn't positive.
+    [[nodiscard]] HoldOrder nextHold(const HoldIntervals &intervals,
+                                     Duration allowedLease = Duration::max());
 
     /// \brief Applies the answer to a hold; returns the runs that ended.
     ///
@@ -218,6 +224,7 @@
     }
     [[nodiscard]] bool hasRun(const RunId &run) const { return m_runs.count(run) > 0; }
     [[nodiscard]] std::size_t runs() const noexcept { return m_runs.size(); }
+    [[nodiscard]] std::vector<RunId> runIds() const;
     [[nodiscard]] Fence fence() const noexcept { return m_fences.current(); }
 
 private:
@@ -243,7 +250,7 @@
     };
     using Runs = std::map<RunId, Run>;
 
-    [[nodiscard]] std::optional<ExecutorTime> leaseUntil() const;
+    [[nodiscard]] std::optional<ExecutorTime> leaseUntil(Duration allowedLease) const;
     [[nodiscard]] std::size_t unansweredStarts() const noexcept;
     /// True if the executor may still carry out the order that started \p run.
     [[nodiscard]] static bool mayStartLater(const Run &run) noexcept;
--- a/include/anvilmill/executor/livenesstimeouts.h
+++ b/include/anvilmill/executor/livenesstimeouts.h
@@ -57,6 +57,12 @@
     /// request.
     [[nodiscard]] Duration maxRequestAge() const noexcept { return m_silentAfter / 2; }
 
+    /// \brief Time from the last message of a host, by the time at which it was sent, to the latest end of a
+    /// lease that is requested for its runs.
+    ///
+    /// Its runs end within the resubmission delay whether or not a stop arrives.
+    [[nodiscard]] Duration leaseAfterLastMessage() const noexcept;
+
 private:
     /// From the detection of a silent host to the end of its runs, if no more stops get lost than
     /// MaxLostStops.
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -42,7 +42,10 @@
     , m_scheduler(clock, random, m_view, *this)
     , m_holder(clock, timers, calls, metrics, settings.hold,
                {[this](const RunEnd &end, const std::string &executor) { runEnded(end, executor); },
-                [this] { capacityChanged(); }})
+                [this] { capacityChanged(); },
+                [this](const RunId &run, const std::string &executor) {
+                    return allowedLeaseFor(m_runs.ownerOf(run, executor).host);
+                }})
     , m_mesh(loop, timers, settings.name, settings.meshAddress,
              {[this](const Frame &frame) { received(frame); },
               [this](const std::string &host) { hostConnected(host); },
@@ -219,8 +222,8 @@
 // The scheduler is notified of the outcome only after place() has returned.
 void BatchHost::startHere(const TaskStart &start)
 {
-    const bool isAccepted =
-            m_holder.start(m_view.idOf(start.executor), start.run, start.demand, *start.spec);
+    const bool isAccepted = m_holder.start(m_view.idOf(start.executor), start.run, start.demand,
+                                           *start.spec, allowedLeaseFor(m_settings.name));
     m_timers.post([this, run = start.run, job = start.task.job, isAccepted] {
         capacityChanged();
         startAnswered(run, job, isAccepted);
@@ -228,6 +231,15 @@
     });
 }
 
+/// Runs without an owner are those of this host's own jobs, and unclaimed ones, for which no lease is
+/// requested anyway.
+Duration BatchHost::allowedLeaseFor(const std::string &owner) const
+{
+    if (owner.empty() || owner == m_settings.name)
+        return Duration::max();
+    return m_timeouts.leaseAfterLastMessage() - m_peers.silence(owner);
+}
+
 void BatchHost::startAnswered(const RunId &run, JobNumber job, bool isAccepted)
 {
     const auto placed = m_placed.find(run);
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -156,6 +156,7 @@
     void runEnded(const RunEnd &end, const std::string &executor);
     void handleEnd(const ReportedEnd &reported);
     [[nodiscard]] bool isEndOf(const Placed &placed, const ReportedEnd &reported) const;
+    [[nodiscard]] Duration allowedLeaseFor(const std::string &owner) const;
     void capacityChanged();
     void collectCapacityChanges();
     void reportWaiting();
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -147,7 +147,8 @@
         const bool hasSpec = frame.specs && index < frame.specs->size();
         const bool isAccepted =
                 hasSpec && !isOutdated && !isInQuietPeriod()
-                && m_holder.start(start.executor, run, resourcesOf(start), (*frame.specs)[index]);
+                && m_holder.start(start.executor, run, resourcesOf(start), (*frame.specs)[index],
+                                  allowedLeaseFor(frame.host));
         if (isAccepted)
             m_runs.setOwner(run, {frame.host, jobNumberOf(start)}, start.executor);
         Frame *const answer = m_mesh.frameFor(frame.host);
--- a/src/daemon/batch/holderservice.cpp
+++ b/src/daemon/batch/holderservice.cpp
@@ -126,7 +126,8 @@
     if (entry->isHoldInFlight || entry->isRemoved || !entry->executor.isHeld())
         return;
     entry->isHoldInFlight = true;
-    const HoldOrder order = entry->executor.nextHold(m_lossTracker.intervals());
+    const HoldOrder order =
+            entry->executor.nextHold(m_lossTracker.intervals(), allowedLease(entry->executor));
     m_calls.hold(entry->executor.registration(), order,
                  m_timers.guard([this, entry, order](const HoldReply &reply) {
                      entry->isHoldInFlight = false;
@@ -135,6 +136,15 @@
                  }));
 }
 
+/// The lease covers all runs of the executor.
+Duration HolderService::allowedLease(const HeldExecutor &executor) const
+{
+    Duration allowed = Duration::max();
+    for (const RunId &run : executor.runIds())
+        allowed = std::min(allowed, m_events.allowedLease(run, executor.registration().id));
+    return allowed;
+}
+
 void HolderService::holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
                                  const HoldReply &reply)
 {
@@ -225,7 +235,8 @@
     if (entry->isSecondHoldInFlight || entry->isRemoved || !executor.isHeld() || !isNeeded)
         return;
     entry->isSecondHoldInFlight = true;
-    const HoldOrder order = entry->executor.nextHold(m_lossTracker.intervals());
+    const HoldOrder order =
+            entry->executor.nextHold(m_lossTracker.intervals(), allowedLease(entry->executor));
     m_calls.hold(entry->executor.registration(), order,
                  m_timers.guard([this, entry, order](const HoldReply &reply) {
                      entry->isSecondHoldInFlight = false;
@@ -270,13 +281,14 @@
 }
 
 bool HolderService::start(const std::string &executor, const RunId &run, const Resources &demand,
-                          const std::string &spec)
+                          const std::string &spec, Duration allowedLeaseOfRun)
 {
     const auto found = m_entries.find(executor);
     if (found == m_entries.end())
         return false;
     const auto entry = found->second;
-    const auto order = entry->executor.start(run, demand);
+    const auto order = entry->executor.start(
+            run, demand, std::min(allowedLeaseOfRun, allowedLease(entry->executor)));
     if (!order)
         return false;
     markCapacityChanged(*entry);
--- a/src/daemon/batch/holderservice.h
+++ b/src/daemon/batch/holderservice.h
@@ -24,6 +24,8 @@
     std::function<void(const RunEnd &, const std::string &executor)> runEnded;
     /// The free capacity of executors may have changed; see takeChangedCapacity().
     std::function<void()> capacityChanged;
+    /// Returns how long the lease of a run may last from now on; not positive if its host may be lost.
+    std::function<Duration(const RunId &, const std::string &executor)> allowedLease;
 };
 
 /// \brief Holds the leases on the executors assigned to this host and sends orders to them, on
@@ -47,9 +49,10 @@
     /// \brief Acquires and releases executors by \p assignment for host \p self.
     void assign(const HolderAssignment &assignment, const std::string &self);
 
-    /// \brief Starts a run on a held executor; false if it lacks capacity or isn't held here.
+    /// \brief Starts a run on a held executor; false if it lacks capacity, isn't held here, or
+    /// \p allowedLeaseOfRun isn't positive.
     [[nodiscard]] bool start(const std::string &executor, const RunId &run, const Resources &demand,
-                             const std::string &spec);
+                             const std::string &spec, Duration allowedLeaseOfRun);
 
     /// \brief Takes responsibility for a run started by an earlier holder; false if not held here.
     [[nodiscard]] bool adopt(const std::string &executor, const RunId &run,
@@ -79,6 +82,7 @@
     void replaceEntry(std::shared_ptr<Entry> &entry, const ExecutorRegistration &registration);
     void assignOne(const std::shared_ptr<Entry> &assigned);
     void hold(const std::shared_ptr<Entry> &entry);
+    [[nodiscard]] Duration allowedLease(const HeldExecutor &executor) const;
     void holdAnswered(const std::shared_ptr<Entry> &entry, const HoldOrder &order,
                       const HoldReply &reply);
     void scheduleProbe(const std::shared_ptr<Entry> &entry);
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -108,14 +108,16 @@
     return outcomes && delivery ? std::max(*outcomes, *delivery) : outcomes ? outcomes : delivery;
 }
 
-std::optional<StartOrder> HeldExecutor::start(const RunId &run, const Resources &demand)
+std::optional<StartOrder> HeldExecutor::start(const RunId &run, const Resources &demand,
+                                              Duration allowedLease)
 {
-    if (!demand.fitsInto(freeCapacity()) || !mayStart() || m_runs.count(run) > 0)
+    if (!demand.fitsInto(freeCapacity()) || !mayStart() || m_runs.count(run) > 0
+        || allowedLease <= Duration{})
         return std::nullopt;
     m_runs.emplace(run, Run{RunState::Starting, demand, m_fences.current(), {}, {}});
     m_used += demand;
     m_leaseRequested = m_clock.now();
-    return StartOrder{run, m_fences.current(), leaseUntil()};
+    return StartOrder{run, m_fences.current(), leaseUntil(allowedLease)};
 }
 
 std::optional<RunEnd> HeldExecutor::startAnswered(const StartOrder &order, StartAnswer answer)
@@ -183,19 +185,20 @@
     return StopOrder{run, m_fences.current()};
 }
 
-HoldOrder HeldExecutor::nextHold(const HoldIntervals &intervals)
+HoldOrder HeldExecutor::nextHold(const HoldIntervals &intervals, Duration allowedLease)
 {
     HoldOrder order;
     order.fence = m_fences.current();
     order.acknowledgedThrough = m_acknowledgedThrough;
     // The lease of an executor that doesn't answer is not renewed, so that its runs end within a
     // known time.
-    const bool isRenewed = m_isVerified && !hasUnwantedRuns();
+    const bool isRenewed = m_isVerified && !hasUnwantedRuns() && allowedLease > Duration{};
     if (isRenewed)
-        order.leaseUntil = leaseUntil();
+        order.leaseUntil = leaseUntil(allowedLease);
+    // The next renewal is due well before a short lease expires.
     if (m_isVerified && !hasUnconfirmedStarts())
         order.wait =
-                isRenewed ? intervals.wait : std::min(intervals.wait, m_settings.unwantedRunWait);
+                std::min(intervals.wait, isRenewed ? allowedLease / 2 : m_settings.unwantedRunWait);
     order.answerTimeout = intervals.answerTimeout;
     order.sent = m_clock.now();
     if (order.leaseUntil)
@@ -203,12 +206,13 @@
     return order;
 }
 
-std::optional<ExecutorTime> HeldExecutor::leaseUntil() const
+std::optional<ExecutorTime> HeldExecutor::leaseUntil(Duration allowedLease) const
 {
     if (!m_executorClock)
         return std::nullopt;
     const Duration since = m_clock.now() - m_executorClockReadAt;
-    return *m_executorClock + durationAs<ExecutorTime>(since + m_settings.longestLease);
+    return *m_executorClock
+           + durationAs<ExecutorTime>(since + std::min(m_settings.longestLease, allowedLease));
 }
 
 std::vector<RunEnd> HeldExecutor::holdAnswered(const HoldOrder &order, const HoldReport &report)
@@ -395,6 +399,15 @@
     return run.state == RunState::Starting || (run.state == RunState::Unconfirmed && run.fence > 0);
 }
 
+std::vector<RunId> HeldExecutor::runIds() const
+{
+    std::vector<RunId> ids;
+    ids.reserve(m_runs.size());
+    for (const auto &[id, run] : m_runs)
+        ids.push_back(id);
+    return ids;
+}
+
 std::vector<RunId> HeldExecutor::orphans() const
 {
     std::vector<RunId> found;
--- a/src/lib/executor/livenesstimeouts.cpp
+++ b/src/lib/executor/livenesstimeouts.cpp
@@ -33,4 +33,11 @@
            + m_settings.stopTime;
 }
 
+Duration LivenessTimeouts::leaseAfterLastMessage() const noexcept
+{
+    const auto drift =
+            std::chrono::duration_cast<Duration>(m_hold.longestLease * m_hold.largestClockDrift);
+    return m_settings.resubmissionDelay - drift - RoundTrip - m_settings.stopTime;
+}
+
 } // namespace anvilmill
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
     CPPUNIT_TEST(jobIsStartedWhileAnyOfItsClientsIsConnected);
     CPPUNIT_TEST(replyToAnEarlierSubmissionDoesNotEndTheRunOfTheNext);
+    CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughAllStopsAreLost);
+    CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughItsExecutorChangesItsHolder);
     CPPUNIT_TEST(taskAtASilentHolderRunsOnceAlthoughItsStartIsCarriedOutLate);
     CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +197,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns("job"));
     }
 
+    // The holder went on renewing the lease until it noticed the silence and 0.2 s longer, so that a run
+    // whose stops were lost outlived the resubmission delay by up to 1 s.
+    void runOfAFrozenHostEndsAlthoughAllStopsAreLost()
+    {
+        for (int phase = 0; phase < 5; ++phase) {
+            VirtualHosts hosts(2, ExecutorsPerHost, Capacity);
+            hosts.executors().setRunTime(JobTimeout);
+            submit(hosts, "h0", "long", hosts.capacityOf("h0"));
+            hosts.runFor(seconds(1));
+            hosts.submit("h0", "job", JobTimeout);
+            hosts.runFor(milliseconds(200 + 50 * phase));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.host("h1").heldRuns());
+            hosts.executors().dropStops();
+            hosts.freeze("h0");
+            hosts.runFor(ResubmissionDelay);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hosts.activeRuns("job"));
+        }
+    }
+
+    // The next holder doesn't know whose run it is, and stops it later than the former one would have.
+    void runOfAFrozenHostEndsAlthoughItsExecutorChangesItsHolder()
+    {
+        for (int phase = 0; phase < 8; ++phase) {
+            VirtualHosts hosts(3, ExecutorsPerHost, Capacity);
+            hosts.executors().setRunTime(JobTimeout);
+            submit(hosts, "h0", "long", hosts.capacityOf("h0"));
+            hosts.runFor(seconds(1));
+            hosts.submit("h0", "job", JobTimeout);
+            hosts.runFor(milliseconds(200));
+            const std::string former = hosts.holderOf(hosts.executorOf("job"));
+            const std::string next = former == "h1" ? "h2" : "h1";
+            CPPUNIT_ASSERT(former != "h0");
+            hosts.executors().dropStops();
+            hosts.freeze("h0");
+            const Duration change = milliseconds(700 + 50 * phase);
+            hosts.runFor(change);
+            for (const std::string &name : {former, next})
+                hosts.adoptWithout(name, {former, "h0"}, 2);
+            hosts.runFor(ResubmissionDelay - change);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hosts.activeRuns("job"));
+        }
+    }
+
     // A start that gets no answer may be carried out seconds later. Its job's host took it as over 4 s after
     // the last message of the holder, which had been frozen right after it sent the start.
     void taskAtASilentHolderRunsOnceAlthoughItsStartIsCarriedOutLate()
