Withdraw a start that is cancelled before it was sent

What callers saw: nothing that is traced to this; found by reading. A job that is cancelled in the iteration of the loop in which its task was started ran on, and its client's next submission could run beside it.

Cause: both messages were in one frame, and the receiver handles the stops of a frame before its starts: the stop found no run, and the start was carried out for a job that no longer existed.

Change: the request is removed from the frame, and no stop is sent.

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -282,7 +282,8 @@
         return;
     }
     Frame *const frame = m_mesh.frameFor(holder);
-    if (!frame)
+    // The receiver handles the stops of a frame before its starts.
+    if (!frame || mesh::withdrawStart(*frame, executor, run))
         return;
     MeshRun message;
     message.executor = executor;
--- a/src/daemon/batch/meshmessages.cpp
+++ b/src/daemon/batch/meshmessages.cpp
@@ -6,6 +6,7 @@
 
 using wire::meshframe::MeshEnd;
 using wire::meshframe::MeshFrame;
+using wire::meshframe::MeshStart;
 using wire::meshframe::Outcome;
 
 namespace {
@@ -72,6 +73,20 @@
     return end;
 }
 
+bool withdrawStart(MeshFrame &frame, const std::string &executor, const RunId &run)
+{
+    if (!frame.starts)
+        return false;
+    const auto start =
+            std::find_if(frame.starts->begin(), frame.starts->end(), [&](const MeshStart &each) {
+                return each.executor == executor && runOf(each) == run;
+            });
+    if (start == frame.starts->end())
+        return false;
+    frame.starts->erase(start);
+    return true;
+}
+
 void addCapacity(MeshFrame &frame, const std::string &executor, const Resources &free)
 {
     append(frame.roomExecutors, executor);
--- a/src/daemon/batch/meshmessages.h
+++ b/src/daemon/batch/meshmessages.h
@@ -70,6 +70,10 @@
 [[nodiscard]] wire::meshframe::MeshEnd endMessage(const RunEnd &end, const std::string &executor);
 [[nodiscard]] RunEnd endOf(const wire::meshframe::MeshEnd &message);
 
+/// \brief Removes the request to start \p run from a frame that hasn't been sent; false if there is none.
+bool withdrawStart(wire::meshframe::MeshFrame &frame, const std::string &executor,
+                   const RunId &run);
+
 /// \brief Adds the free capacity of an executor that the sender holds.
 void addCapacity(wire::meshframe::MeshFrame &frame, const std::string &executor,
                  const Resources &free);
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
     CPPUNIT_TEST(jobIsStartedWhileAnyOfItsClientsIsConnected);
     CPPUNIT_TEST(replyToAnEarlierSubmissionDoesNotEndTheRunOfTheNext);
+    CPPUNIT_TEST(jobCancelledInTheIterationOfItsStartDoesNotRun);
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughAllStopsAreLost);
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughItsExecutorChangesItsHolder);
     CPPUNIT_TEST(taskAtASilentHolderRunsOnceAlthoughItsStartIsCarriedOutLate);
@@ -197,6 +198,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns("job"));
     }
 
+    // The request and its cancellation were sent in one frame, whose cancellations are handled first.
+    void jobCancelledInTheIterationOfItsStartDoesNotRun()
+    {
+        VirtualHosts hosts(2, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        submit(hosts, "h0", "long", hosts.capacityOf("h0"));
+        hosts.runFor(seconds(1));
+        const JobNumber job = hosts.submit("h0", "job", JobTimeout);
+        CPPUNIT_ASSERT(hosts.host("h0").hasStarted(job));
+        hosts.host("h0").cancel(job);
+        hosts.runFor(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hosts.activeRuns("job"));
+    }
+
     // The holder went on renewing the lease until it noticed the silence and 0.2 s longer, so that a run
     // whose stops were lost outlived the resubmission delay by up to 1 s.
     void runOfAFrozenHostEndsAlthoughAllStopsAreLost()
