Ignore answers of executors to orders that have been concluded

Cause: an answer was applied to the present runs whatever order it answered. A hold from before the host lost the executor to another one and got it back counted as an answer under the present fence: runs that the other host had started meanwhile were taken as not started, and the time for a lapse began to count. The late rejection of a start that had been concluded ended a later run with the same id.

Change: answers to holds below the first fence of the present tenure only tell of ended runs; the answer to a start is applied to the run that was started under the same fence.

Evidence: HeldExecutorTest::answerToAnEarlierHolderOfTheSameHostSaysNothingOfTheNext and answerToAnEarlierStartDoesNotEndALaterRun failed before.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -162,6 +162,9 @@
                                                   Duration allowedLease = Duration::max());
 
     /// \brief Applies the answer to a start; returns the run's end if it will never run.
+    ///
+    /// Ignores the answer to an order whose run has been concluded, since the run may have been
+    /// requested again under a later fence.
     [[nodiscard]] std::optional<RunEnd> startAnswered(const StartOrder &order, StartAnswer answer);
 
     /// \brief Handles a start without an answer, which may or may not take effect, by raising the
@@ -288,6 +291,9 @@
     MonotonicTime m_leaseInvalidated;
     /// When the last order that may have renewed the lease was sent.
     MonotonicTime m_leaseRequested;
+    /// The first fence since this host became the holder. Answers to earlier orders tell nothing of runs
+    /// that other holders have started since.
+    Fence m_acquiredFence = 0;
     bool m_isHeld = false;
     /// True once the executor has answered a hold under a fence raised since the lease was
     /// acquired.
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -44,7 +44,7 @@
 
 void HeldExecutor::acquire(StoreVersion membership)
 {
-    m_fences.acquire(membership);
+    m_acquiredFence = m_fences.acquire(membership);
     m_isHeld = true;
     m_hasClosedConnection = false;
     m_hasFenceBeenSeen = false;
@@ -123,6 +123,10 @@
 std::optional<RunEnd> HeldExecutor::startAnswered(const StartOrder &order, StartAnswer answer)
 {
     const auto found = m_runs.find(order.run);
+    const bool isConcluded = found == m_runs.end() ? m_isHeld && order.fence >= m_acquiredFence
+                                                   : found->second.fence != order.fence;
+    if (isConcluded)
+        return std::nullopt;
     if (answer != StartAnswer::Started) {
         if (found != m_runs.end())
             remove(found);
@@ -220,8 +224,9 @@
     std::vector<RunEnd> ended;
     if (!m_isHeld)
         return ended;
+    const bool isOfEarlierFence = order.fence < m_acquiredFence;
     // Until it saw this holder's fence, the executor obeyed an earlier holder.
-    if (!std::exchange(m_hasFenceBeenSeen, true))
+    if (!isOfEarlierFence && !std::exchange(m_hasFenceBeenSeen, true))
         m_leaseRequested = std::max(m_leaseRequested, m_clock.now());
     m_hasClosedConnection = false;
     if (isOfEarlierProcess(report))
@@ -231,7 +236,7 @@
     const bool isRestarted = m_incarnation != 0 && report.incarnation != m_incarnation;
     recordIncarnation(report);
     applyEnds(report, ended);
-    if (isOutdated)
+    if (isOutdated || isOfEarlierFence)
         return ended;
     m_executorClock = report.clock;
     m_executorClockReadAt = m_clock.now();
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -73,6 +73,8 @@
     CPPUNIT_TEST(startsLostOnOneConnectionCountOnce);
     CPPUNIT_TEST(drainingExecutorGetsNoStarts);
     CPPUNIT_TEST(startWithoutAnswerIsNotOverBeforeTheExecutorAnswers);
+    CPPUNIT_TEST(answerToAnEarlierHolderOfTheSameHostSaysNothingOfTheNext);
+    CPPUNIT_TEST(answerToAnEarlierStartDoesNotEndALaterRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -645,6 +647,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold(*m_held).size());
     }
 
+    // A host lost an executor to another host and got it back while an answer was on its way.
+    void answerToAnEarlierHolderOfTheSameHostSaysNothingOfTheNext()
+    {
+        const HoldOrder order = m_held->nextHold(Intervals);
+        const auto report = m_executor->hold(order);
+        m_held->release();
+        const auto other = makeHeld();
+        other->acquire(6);
+        hold(*other);
+        const auto start = other->start(runOf("a"), Task);
+        CPPUNIT_ASSERT(!other->startAnswered(*start, m_executor->start(*start, Task)));
+        m_held->acquire(7);
+        m_held->adopt(runOf("a"), Task);
+        CPPUNIT_ASSERT(m_held->holdAnswered(order, *report).empty());
+        for (int i = 0; i < 20; ++i) {
+            m_clock->advance(milliseconds(100));
+            hold(*other);
+            CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
+        }
+        CPPUNIT_ASSERT(m_executor->runs(runOf("a")));
+    }
+
+    // A client submits a job again, whose runs have the same ids.
+    void answerToAnEarlierStartDoesNotEndALaterRun()
+    {
+        const auto first = m_held->start(runOf("a"), Task);
+        CPPUNIT_ASSERT(m_held->startUnanswered(*first));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hold(*m_held).size());
+        start("a");
+        CPPUNIT_ASSERT(!m_held->startAnswered(*first, m_executor->start(*first, Task)));
+        CPPUNIT_ASSERT(m_held->hasRun(runOf("a")));
+        m_executor->end(runOf("a"), RunOutcome::Done);
+        hold(*m_held);
+        CPPUNIT_ASSERT(!m_held->startAnswered(*first, StartAnswer::Fenced));
+    }
+
 private:
     [[nodiscard]] std::unique_ptr<HeldExecutor> makeHeld() const
     {
