Remember every host that was requested to keep a run

Cause: a job's host knew the present holder of a run and the one before. A cancellation didn't reach an earlier one that reads no membership. And an end that the present holder concluded from the time was believed once a second had passed since the run was claimed from it, though the holder in between may not have read that it isn't the holder any more.

Change: all of them are remembered, receive the stop and frequent heartbeats. An end is believed without the executor's word only from a holder that is the only one that was ever requested. The second that had to pass is gone. Cost: if the executor is lost too, after a change of holder, the job waits until it is reached or until its deadline.

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -197,7 +197,7 @@
 void BatchHost::startTask(const TaskStart &start)
 {
     const std::string holder = reporterOf(start.executor);
-    m_placed[start.run] = {start.task.job, start.executor, start.demand, holder, m_clock.now(), ""};
+    m_placed[start.run] = {start.task.job, start.executor, start.demand, holder, {}};
     if (holder == m_settings.name) {
         startHere(start);
         return;
@@ -271,8 +271,8 @@
     const Placed stopped = placed->second;
     m_placed.erase(placed);
     stopAt(stopped.holder, m_view.idOf(executor), run);
-    if (!stopped.formerHolder.empty())
-        stopAt(stopped.formerHolder, m_view.idOf(executor), run);
+    for (const std::string &former : stopped.formerHolders)
+        stopAt(former, m_view.idOf(executor), run);
 }
 
 void BatchHost::stopAt(const std::string &holder, const std::string &executor, const RunId &run)
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -120,13 +120,11 @@
         JobNumber job = 0;
         std::size_t executor = 0;
         Resources demand;
-        /// The host that was last requested to start or adopt the run, and the time of that
-        /// request.
+        /// The host that was last requested to start or adopt the run.
         std::string holder;
-        MonotonicTime requested;
-        /// The holder before the last claim, which continues until it reads of the change; empty if
-        /// the run was not claimed.
-        std::string formerHolder;
+        /// The hosts that were requested before. Each of them may go on renewing the lease until it
+        /// reads that it isn't the holder any more.
+        std::set<std::string> formerHolders;
     };
 
     /// The end of a run as reported by the holder of its executor.
--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -66,17 +66,15 @@
 }
 
 /// True if the end is that of the placed run. An end on another executor, or of another job, belongs to
-/// an earlier submission of the job, whose runs have the same identifiers. Only the present holder can
-/// infer an end, since it may be renewing the lease; right after a claim, it infers from what it knew
-/// before.
+/// an earlier submission of the job, whose runs have the same identifiers. An inferred end holds only
+/// while no other host was requested to keep the run, since that one may be renewing the lease.
 bool BatchHost::isEndOf(const Placed &placed, const ReportedEnd &reported) const
 {
     if (m_view.idOf(placed.executor) != reported.executor
         || (reported.job != 0 && reported.job != placed.job))
         return false;
-    const bool isNewHolder = !placed.formerHolder.empty()
-                             && m_clock.now() - placed.requested < m_settings.hold.longestLease;
-    return !reported.end.isInferred || (placed.holder == reported.reporter && !isNewHolder);
+    return !reported.end.isInferred
+           || (placed.holder == reported.reporter && placed.formerHolders.empty());
 }
 
 void BatchHost::sendEnd(const RunOwner &owner, const RunEnd &end, const std::string &executor)
@@ -251,8 +249,8 @@
         const std::string holder = holderOfExecutor(placed.executor);
         if (holder.empty() || holder == placed.holder)
             continue;
-        placed.formerHolder = std::exchange(placed.holder, holder);
-        placed.requested = m_clock.now();
+        placed.formerHolders.insert(std::exchange(placed.holder, holder));
+        placed.formerHolders.erase(holder);
         if (holder == m_settings.name) {
             (void)m_holder.adopt(m_view.idOf(placed.executor), run, placed.demand);
             continue;
--- a/src/daemon/batch/batchhostheartbeats.cpp
+++ b/src/daemon/batch/batchhostheartbeats.cpp
@@ -132,8 +132,10 @@
         hosts.insert(sharing.begin(), sharing.end());
     const std::set<std::string> waiting = m_capacityReporter.waitingHosts();
     hosts.insert(waiting.begin(), waiting.end());
-    for (const auto &[run, placed] : m_placed)
+    for (const auto &[run, placed] : m_placed) {
         hosts.insert(placed.holder);
+        hosts.insert(placed.formerHolders.begin(), placed.formerHolders.end());
+    }
     return hosts;
 }
 
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughAllStopsAreLost);
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughItsExecutorChangesItsHolder);
     CPPUNIT_TEST(taskAtASilentHolderRunsOnceAlthoughItsStartIsCarriedOutLate);
+    CPPUNIT_TEST(cancelledRunEndsAtEveryHolderThatWasRequestedToKeepIt);
+    CPPUNIT_TEST(taskRunsOnceAlthoughItsExecutorReturnsToAHolderThatLostIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,7 +285,76 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns("job"));
     }
 
+    // Only the last two holders were told of a cancellation. An earlier one that reads no membership went on
+    // with the run.
+    void cancelledRunEndsAtEveryHolderThatWasRequestedToKeepIt()
+    {
+        VirtualHosts hosts(4, ExecutorsPerHost, Capacity);
+        const MovedRun run = startRunThatCanMove(hosts);
+        for (const std::string name : {"h0", "h1", "h2", "h3"}) {
+            if (name != run.holder)
+                hosts.partitionFromExecutors(name);
+        }
+        hosts.adoptWithout("h0", {run.holder}, 2);
+        hosts.adoptWithout("h0", {run.holder, run.nextHolder}, 3);
+        hosts.runFor(milliseconds(50));
+        hosts.host("h0").cancel(run.number);
+        hosts.runFor(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, hosts.activeRuns(run.job));
+    }
+
+    // The first holder reads no membership and loses the executor, which another host holds for a moment and
+    // goes on holding. It was believed that the run had lapsed once a second had passed since it was claimed
+    // from the first holder again.
+    void taskRunsOnceAlthoughItsExecutorReturnsToAHolderThatLostIt()
+    {
+        VirtualHosts hosts(4, ExecutorsPerHost, Capacity);
+        const MovedRun run = startRunThatCanMove(hosts);
+        hosts.partitionFromExecutors(run.holder);
+        hosts.runFor(milliseconds(100));
+        hosts.adoptWithout(run.nextHolder, {run.holder}, 2);
+        hosts.adoptWithout("h0", {run.holder}, 2);
+        hosts.runFor(milliseconds(50));
+        hosts.adoptWithout("h0", {}, 3);
+        for (int i = 0; i < 30; ++i) {
+            hosts.runFor(milliseconds(100));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.activeRuns(run.job));
+        }
+    }
+
 private:
+    struct MovedRun
+    {
+        std::string job;
+        JobNumber number = 0;
+        std::string holder;
+        /// Of its executor, without the holder.
+        std::string nextHolder;
+    };
+
+    /// Starts a run of a job of h0 on an executor that h0 doesn't hold and wouldn't hold next.
+    static MovedRun startRunThatCanMove(VirtualHosts &hosts)
+    {
+        hosts.executors().setRunTime(JobTimeout);
+        submit(hosts, "h0", "long", hosts.capacityOf("h0"));
+        hosts.runFor(seconds(1));
+        std::map<std::string, JobNumber> jobs;
+        for (int i = 0; i < hosts.capacityOf("h1"); ++i) {
+            const std::string id = "job" + std::to_string(i);
+            jobs[id] = hosts.submit("h0", id, JobTimeout);
+        }
+        hosts.runFor(milliseconds(200));
+        for (const auto &[id, number] : jobs) {
+            const std::string executor = hosts.executorOf(id);
+            const std::string holder = hosts.holderOf(executor);
+            const std::string next = hosts.holderOf(executor, {holder});
+            if (holder != "h0" && next != "h0")
+                return {id, number, holder, next};
+        }
+        CPPUNIT_FAIL("no executor has two other holders in turn");
+        return {};
+    }
+
     static void submit(VirtualHosts &hosts, const std::string &host, const std::string &prefix,
                        int jobs)
     {
