Keep early claims of several hosts for runs with the same id apart

What callers saw: a job that waits until its deadline; found by reading.

Cause: a claim that arrived before the change of holder was read was identified by task and run alone. The cancellation of an earlier submission of the job at another host, or that host's claim, discarded it; the run was then stopped as an orphan, and its host never told.

Change: claims are identified by host and executor as well.

--- a/src/daemon/batch/batchhostframes.cpp
+++ b/src/daemon/batch/batchhostframes.cpp
@@ -212,7 +212,7 @@
 void BatchHost::handleStops(const Frame &frame)
 {
     for (const MeshRun &message : frame.stops.value_or(std::vector<MeshRun>())) {
-        m_earlyClaims.remove(runOf(message));
+        m_earlyClaims.remove(frame.host, runOf(message), message.executor);
         m_holder.stop(message.executor, runOf(message));
     }
 }
--- a/src/daemon/batch/earlyclaims.cpp
+++ b/src/daemon/batch/earlyclaims.cpp
@@ -21,15 +21,18 @@
 
 void EarlyClaims::add(RunClaim claim)
 {
-    remove(claim.run);
+    remove(claim.owner.host, claim.run, claim.executor);
     m_claims.push_back({m_clock.now(), std::move(claim)});
     if (m_claims.size() > MaxClaims)
         m_claims.pop_front();
 }
 
-void EarlyClaims::remove(const RunId &run)
+void EarlyClaims::remove(const std::string &host, const RunId &run, const std::string &executor)
 {
-    const auto matches = [&](const TimedClaim &entry) { return entry.claim.run == run; };
+    const auto matches = [&](const TimedClaim &entry) {
+        return entry.claim.run == run && entry.claim.owner.host == host
+               && entry.claim.executor == executor;
+    };
     m_claims.erase(std::remove_if(m_claims.begin(), m_claims.end(), matches), m_claims.end());
 }
 
--- a/src/daemon/batch/earlyclaims.h
+++ b/src/daemon/batch/earlyclaims.h
@@ -35,8 +35,9 @@
 
     void add(RunClaim claim);
 
-    /// \brief Discards the claims for a run that is being stopped.
-    void remove(const RunId &run);
+    /// \brief Discards the claim of \p host for a run on \p executor that is being stopped. Other hosts
+    /// may claim runs with the same id, of other submissions of the job.
+    void remove(const std::string &host, const RunId &run, const std::string &executor);
 
     /// \brief Removes all claims and returns those that are recent enough.
     [[nodiscard]] std::vector<RunClaim> takeAll();
