Measure the silence of hosts by the boot clock

Cause: the steady clock doesn't count the time for which a machine is suspended. A holder that was suspended for 0.9 s took the last message of a host that was lost meanwhile for a recent one, and renewed the leases of its runs for another 0.9 s.

Change: PeerLiveness measures by the boot clock, as the ages of frames do. ManualClock can be suspended.

Evidence: PeerLivenessTest::hostIsSilentWhileThisMachineIsSuspended; by the code before, silence() was a difference of now().

--- a/src/daemon/batch/peerliveness.cpp
+++ b/src/daemon/batch/peerliveness.cpp
@@ -27,54 +27,50 @@
                              const std::vector<PeerHost> &neighbours)
 {
     for (const PeerHost &host : m_neighbours)
-        m_lastNeighbour[host.name] = m_clock.now();
+        m_lastNeighbour[host.name] = m_clock.sinceBoot();
     m_listed = hosts;
     m_neighbours = neighbours;
     for (const PeerHost &host : neighbours) {
         m_everNeighbours[host.name] = host;
-        m_lastReceived.emplace(host.name, m_clock.now());
+        m_lastReceived.emplace(host.name, m_clock.sinceBoot());
     }
 }
 
 void PeerLiveness::messageReceived(const std::string &host, Duration age)
 {
-    MonotonicTime &last = m_lastReceived[host];
-    last = std::max(last, m_clock.now() - age);
+    Duration &last = m_lastReceived[host];
+    last = std::max(last, m_clock.sinceBoot() - age);
     m_silent.erase(host);
 }
 
 void PeerLiveness::setSharing(const std::set<std::string> &hosts)
 {
-    std::map<std::string, MonotonicTime> since;
+    std::map<std::string, Duration> since;
     for (const std::string &host : hosts) {
         const auto known = m_sharingSince.find(host);
-        since.emplace(host, known == m_sharingSince.end() ? m_clock.now() : known->second);
+        since.emplace(host, known == m_sharingSince.end() ? m_clock.sinceBoot() : known->second);
     }
     m_sharingSince = std::move(since);
 }
 
-MonotonicTime PeerLiveness::lastReceived(const std::string &host) const
-{
-    const auto found = m_lastReceived.find(host);
-    return found == m_lastReceived.end() ? MonotonicTime() : found->second;
-}
-
 Duration PeerLiveness::silence(const std::string &host) const
 {
-    return m_clock.now() - lastReceived(host);
+    const auto found = m_lastReceived.find(host);
+    return found == m_lastReceived.end() ? Duration::max() : m_clock.sinceBoot() - found->second;
 }
 
 Duration PeerLiveness::overdue(const std::string &host) const
 {
     const auto sharing = m_sharingSince.find(host);
     const Duration silent = silence(host);
-    return sharing == m_sharingSince.end() ? silent
-                                           : std::min(silent, m_clock.now() - sharing->second);
+    return sharing == m_sharingSince.end()
+                   ? silent
+                   : std::min(silent, m_clock.sinceBoot() - sharing->second);
 }
 
 std::vector<std::string> PeerLiveness::takeNewlySilent(Duration limit)
 {
-    const MonotonicTime now = m_clock.now();
+    const Duration now = m_clock.sinceBoot();
     std::vector<std::string> hosts;
     for (const auto &[host, received] : m_lastReceived) {
         if (now - received >= limit && m_silent.insert(host).second)
@@ -102,15 +98,15 @@
 {
     const auto found = m_lastNeighbour.find(host);
     return found != m_lastNeighbour.end()
-           && m_clock.now() - found->second < FormerNeighbourRetention;
+           && m_clock.sinceBoot() - found->second < FormerNeighbourRetention;
 }
 
 bool PeerLiveness::mayRedial(const std::string &host)
 {
-    MonotonicTime &next = m_nextRedial[host];
-    if (m_clock.now() < next)
+    Duration &next = m_nextRedial[host];
+    if (m_clock.sinceBoot() < next)
         return false;
-    next = m_clock.now() + RedialInterval;
+    next = m_clock.sinceBoot() + RedialInterval;
     return true;
 }
 
--- a/src/daemon/batch/peerliveness.h
+++ b/src/daemon/batch/peerliveness.h
@@ -12,6 +12,8 @@
 
 /// \brief Times at which each entry host sent its last message, and the hosts to stay connected to.
 ///
+/// All times are of the boot clock: a host may have been lost while this machine was suspended.
+///
 /// Thread safety: one thread at a time.
 class PeerLiveness
 {
@@ -35,7 +37,6 @@
 
     /// \brief Time since the last message from \p host; very long if there was none.
     [[nodiscard]] Duration silence(const std::string &host) const;
-    [[nodiscard]] MonotonicTime lastReceived(const std::string &host) const;
 
     /// \brief The hosts whose silence has reached \p limit since the last call.
     [[nodiscard]] std::vector<std::string> takeNewlySilent(Duration limit);
@@ -60,13 +61,13 @@
     std::vector<PeerHost> m_neighbours;
     /// All hosts that were ever neighbours.
     std::map<std::string, PeerHost> m_everNeighbours;
-    std::map<std::string, MonotonicTime> m_lastNeighbour;
-    std::map<std::string, MonotonicTime> m_lastReceived;
+    std::map<std::string, Duration> m_lastNeighbour;
+    std::map<std::string, Duration> m_lastReceived;
     /// When each of the sharing hosts became one.
-    std::map<std::string, MonotonicTime> m_sharingSince;
+    std::map<std::string, Duration> m_sharingSince;
     /// Hosts that were reported as silent and have sent no message since.
     std::set<std::string> m_silent;
-    std::map<std::string, MonotonicTime> m_nextRedial;
+    std::map<std::string, Duration> m_nextRedial;
 };
 
 } // namespace anvilmill::daemon
--- a/src/lib/manualclock.cpp
+++ b/src/lib/manualclock.cpp
@@ -27,4 +27,15 @@
     m_wallOffset += step.count();
 }
 
+Duration ManualClock::sinceBoot() const
+{
+    return Duration(m_monotonic + m_suspended);
+}
+
+void ManualClock::suspend(Duration step)
+{
+    m_suspended += step.count();
+    m_wallOffset += step.count();
+}
+
 } // namespace anvilmill
--- a/tests/unit/test_peerliveness.cpp
+++ b/tests/unit/test_peerliveness.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(whatIsSharedWithAFrozenHostDoesntCountAsItsMessages);
     CPPUNIT_TEST(hostWithRareHeartbeatsIsOverdueOnlyOnceItShares);
     CPPUNIT_TEST(messageThatWaitedDoesntShowThatItsSenderIsAlive);
+    CPPUNIT_TEST(hostIsSilentWhileThisMachineIsSuspended);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +67,16 @@
         CPPUNIT_ASSERT(m_peers.takeNewlySilent(milliseconds(900)).empty());
     }
 
+    // A holder that had been suspended for 0.9 s went on renewing the leases for the runs of a host that was
+    // lost meanwhile.
+    void hostIsSilentWhileThisMachineIsSuspended()
+    {
+        m_peers.messageReceived("lost", {});
+        m_clock.suspend(milliseconds(900));
+        CPPUNIT_ASSERT(m_peers.silence("lost") == milliseconds(900));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_peers.takeNewlySilent(milliseconds(890)).size());
+    }
+
 private:
     ManualClock m_clock;
     PeerLiveness m_peers{m_clock};
