Don't shorten the leases of hosts that send heartbeats, however short the resubmission delay

What callers saw: nothing; found on reading the limit of leases once more. On an installation whose clients submit jobs again within a second, the limit would have cut short the leases of hosts that are alive, and their runs would have lapsed.

Change: the limit is at least half of the longest lease above the silence that a lost heartbeat causes. Where that doesn't fit into the resubmission delay, areSufficient() is false and host.resubmissionTooEarly is logged, as before.

Evidence: LivenessTimeoutsTest::hostThatSendsHeartbeatsKeepsItsLeasesWhateverTheResubmissionDelay fails without the lower bound for delays up to 1 s.

--- a/include/anvilmill/executor/livenesstimeouts.h
+++ b/include/anvilmill/executor/livenesstimeouts.h
@@ -60,17 +60,23 @@
     /// \brief Time from the last message of a host, by the time at which it was sent, to the latest end of a
     /// lease that is requested for its runs.
     ///
-    /// Its runs end within the resubmission delay whether or not a stop arrives.
-    [[nodiscard]] Duration leaseAfterLastMessage() const noexcept;
+    /// Its runs end within the resubmission delay whether or not a stop arrives, if areSufficient().
+    [[nodiscard]] Duration leaseAfterLastMessage() const noexcept
+    {
+        return m_leaseAfterLastMessage;
+    }
 
 private:
     /// From the detection of a silent host to the end of its runs, if no more stops get lost than
     /// MaxLostStops.
     [[nodiscard]] Duration detectionToEnd() const noexcept;
+    /// By how much a run may outlive the time until which its lease was requested.
+    [[nodiscard]] Duration leaseToEnd() const noexcept;
 
     LivenessSettings m_settings;
     HoldSettings m_hold;
     Duration m_silentAfter;
+    Duration m_leaseAfterLastMessage;
 };
 
 } // namespace anvilmill
--- a/src/lib/executor/livenesstimeouts.cpp
+++ b/src/lib/executor/livenesstimeouts.cpp
@@ -17,12 +17,15 @@
     : m_settings(settings)
     , m_hold(hold)
     , m_silentAfter(std::max(MinSilentAfter, settings.resubmissionDelay - detectionToEnd()))
+    , m_leaseAfterLastMessage(std::max(MinSilentAfter + hold.longestLease / 2,
+                                       settings.resubmissionDelay - leaseToEnd()))
 {
 }
 
 bool LivenessTimeouts::areSufficient() const noexcept
 {
-    return m_silentAfter + detectionToEnd() <= m_settings.resubmissionDelay;
+    return m_silentAfter + detectionToEnd() <= m_settings.resubmissionDelay
+           && m_leaseAfterLastMessage + leaseToEnd() <= m_settings.resubmissionDelay;
 }
 
 // The silence is noticed by the dispatcher of a transferred job, which tells the holder, which sends
@@ -33,11 +36,11 @@
            + m_settings.stopTime;
 }
 
-Duration LivenessTimeouts::leaseAfterLastMessage() const noexcept
+Duration LivenessTimeouts::leaseToEnd() const noexcept
 {
     const auto drift =
             std::chrono::duration_cast<Duration>(m_hold.longestLease * m_hold.largestClockDrift);
-    return m_settings.resubmissionDelay - drift - RoundTrip - m_settings.stopTime;
+    return drift + RoundTrip + m_settings.stopTime;
 }
 
 } // namespace anvilmill
--- a/tests/unit/executor/test_livenesstimeouts.cpp
+++ b/tests/unit/executor/test_livenesstimeouts.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST_SUITE(LivenessTimeoutsTest);
     CPPUNIT_TEST(runsOfASilentHostEndWithinTheResubmissionDelay);
     CPPUNIT_TEST(tooShortResubmissionDelayIsReported);
+    CPPUNIT_TEST(hostThatSendsHeartbeatsKeepsItsLeasesWhateverTheResubmissionDelay);
+    CPPUNIT_TEST(leaseOfALostHostEndsWithinTheResubmissionDelay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +35,29 @@
         CPPUNIT_ASSERT(!timeouts.areSufficient());
         CPPUNIT_ASSERT(timeouts.silentAfter() > 2 * LivenessTimeouts::HeartbeatInterval);
     }
+
+    void hostThatSendsHeartbeatsKeepsItsLeasesWhateverTheResubmissionDelay()
+    {
+        for (const int delay : {0, 300, 600, 1000, 1300, 5000}) {
+            const HoldSettings hold;
+            const LivenessTimeouts timeouts({milliseconds(delay), milliseconds(50)}, hold);
+            // One of the heartbeats is lost.
+            const Duration lease =
+                    timeouts.leaseAfterLastMessage() - 2 * LivenessTimeouts::HeartbeatInterval;
+            CPPUNIT_ASSERT(lease > hold.longestLease / 2);
+        }
+    }
+
+    void leaseOfALostHostEndsWithinTheResubmissionDelay()
+    {
+        const LivenessSettings settings;
+        const HoldSettings hold;
+        const LivenessTimeouts timeouts(settings, hold);
+        CPPUNIT_ASSERT(timeouts.leaseAfterLastMessage() + settings.stopTime
+                       < settings.resubmissionDelay);
+        CPPUNIT_ASSERT(timeouts.leaseAfterLastMessage() - LivenessTimeouts::HeartbeatInterval
+                       > hold.longestLease * 9 / 10);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LivenessTimeoutsTest);
