Notice a restart that the answer to an earlier holder's hold tells of

An executor that restarts around a change of holder and back stays unusable, and the jobs whose runs it has lost wait until their deadlines.

Cause: the answer to a hold of an earlier fence recorded the executor's new process, but not its clock, which starts anew. All later answers then counted as older than the last one of the former process, until the clock had caught up.

Change: such an answer of an unknown process is ignored; the next answer tells of process, clock and runs at once.

Evidence: HeldExecutorTest::restartThatAnAnswerToAnEarlierHoldTellsOfIsNoticed: 0 ends before, 1 after.

--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -229,7 +229,10 @@
     if (!isOfEarlierFence && !std::exchange(m_hasFenceBeenSeen, true))
         m_leaseRequested = std::max(m_leaseRequested, m_clock.now());
     m_hasClosedConnection = false;
-    if (isOfEarlierProcess(report))
+    // That the executor has restarted is recorded with its clock and its runs, from the first answer that
+    // tells of all three.
+    const bool isOfUnknownProcess = isOfEarlierFence && report.incarnation != m_incarnation;
+    if (isOfEarlierProcess(report) || isOfUnknownProcess)
         return ended;
     const bool isOutdated = report.incarnation == m_incarnation && m_executorClock
                             && report.clock < *m_executorClock;
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(startWithoutAnswerIsNotOverBeforeTheExecutorAnswers);
     CPPUNIT_TEST(answerToAnEarlierHolderOfTheSameHostSaysNothingOfTheNext);
     CPPUNIT_TEST(answerToAnEarlierStartDoesNotEndALaterRun);
+    CPPUNIT_TEST(restartThatAnAnswerToAnEarlierHoldTellsOfIsNoticed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -683,6 +684,31 @@
         CPPUNIT_ASSERT(!m_held->startAnswered(*first, StartAnswer::Fenced));
     }
 
+    // The executor's clock starts anew, so that all later answers counted as older than the last one of the
+    // former process.
+    void restartThatAnAnswerToAnEarlierHoldTellsOfIsNoticed()
+    {
+        m_clock->advance(milliseconds(5000));
+        start("a");
+        hold(*m_held);
+        const HoldOrder order = m_held->nextHold(Intervals);
+        m_held->release();
+        m_held->acquire(6);
+        m_held->adopt(runOf("a"), Task);
+        hold(*m_held);
+        m_clock->advance(milliseconds(10));
+        m_executor->restart();
+        const auto report = m_executor->hold(order);
+        CPPUNIT_ASSERT(report.has_value());
+        CPPUNIT_ASSERT(m_held->holdAnswered(order, *report).empty());
+        m_clock->advance(milliseconds(10));
+        const auto ends = hold(*m_held);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().outcome == RunOutcome::Lost);
+        CPPUNIT_ASSERT(ends.front().hasExecutorCrashed);
+        CPPUNIT_ASSERT(m_held->start(runOf("b"), Task));
+    }
+
 private:
     [[nodiscard]] std::unique_ptr<HeldExecutor> makeHeld() const
     {
