--- a/tests/fakes/virtualhosts.h
+++ b/tests/fakes/virtualhosts.h
@@ -37,9 +37,12 @@
     /// Of each task.
     static constexpr Resources Demand{1000, 64, 0};
 
-    /// Each host holds some of the executors, of which \p perHost are there for each host.
-    VirtualHosts(std::size_t hosts, std::size_t perHost, const Resources &capacity)
+    /// Each host holds some of the executors, of which \p perHost are there for each host. Hosts and
+    /// executors are dealt out to the data centres in turn.
+    VirtualHosts(std::size_t hosts, std::size_t perHost, const Resources &capacity,
+                 std::size_t dataCentres = 1)
         : m_capacity(capacity)
+        , m_dataCentres(dataCentres)
     {
         // The loops' own timers are those of the system, which doesn't reach this time.
         m_clock.advance(std::chrono::hours(24 * 365 * 10));
@@ -133,10 +136,16 @@
                                        const std::set<std::string> &missing = {}) const
     {
         return HolderAssignment(membershipWithout(missing, m_membership.revision))
-                .holderOf(executor, "dc")
+                .holderOf(executor, dataCentreOf(executor))
                 .value_or("");
     }
 
+    /// The data centre of a host or executor.
+    [[nodiscard]] std::string dataCentreOf(const std::string &name) const
+    {
+        return "dc" + std::to_string(std::stoul(name.substr(1)) % m_dataCentres);
+    }
+
     /// The tasks that the executors held by \p name can run at a time.
     [[nodiscard]] int capacityOf(const std::string &name) const
     {
@@ -239,7 +248,7 @@
         auto host = std::make_unique<Host>(m_clock, *m_executors);
         daemon::BatchHostSettings settings;
         settings.name = name;
-        settings.dataCentre = "dc";
+        settings.dataCentre = dataCentreOf(name);
         settings.meshAddress = unusedEndpoint();
         host->batchHost = std::make_unique<daemon::BatchHost>(
                 host->loop, host->timers, m_clock, m_random, host->partition, m_metrics, settings);
@@ -247,12 +256,13 @@
             ExecutorRegistration registration;
             registration.id = id;
             registration.service = "desk";
-            registration.dataCentre = "dc";
+            registration.dataCentre = dataCentreOf(id);
             registration.capacity = m_capacity;
             host->batchHost->updateExecutor(registration);
         }
         m_membership.revision = 1;
-        m_membership.hosts.push_back({name, "dc", formatEndpoint(settings.meshAddress), false});
+        m_membership.hosts.push_back(
+                {name, settings.dataCentre, formatEndpoint(settings.meshAddress), false});
         m_hosts[name] = std::move(host);
     }
 
@@ -278,6 +288,7 @@
     SeededRandom m_random{7};
     daemon::BatchMetrics m_metrics;
     Resources m_capacity;
+    std::size_t m_dataCentres = 1;
     std::vector<std::string> m_executorIds;
     HostMembership m_membership;
     boost::asio::io_context m_executorLoop{1};
--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
 /// Time between the loss of a host and the next submission of its jobs to other hosts.
 constexpr Duration ResubmissionDelay = LivenessSettings().resubmissionDelay;
 constexpr Duration JobTimeout = seconds(60);
+/// With as many hosts, reports of free capacity count as recent for longer than the resubmission delay.
+constexpr std::size_t LargeFleet = 12;
 
 } // namespace
 
@@ -40,6 +43,9 @@
     CPPUNIT_TEST(taskAtASilentHolderRunsOnceAlthoughItsStartIsCarriedOutLate);
     CPPUNIT_TEST(cancelledRunEndsAtEveryHolderThatWasRequestedToKeepIt);
     CPPUNIT_TEST(taskRunsOnceAlthoughItsExecutorReturnsToAHolderThatLostIt);
+    CPPUNIT_TEST(capacityOfAHolderThatWasSilentRepeatedlyIsUsedSoon);
+    CPPUNIT_TEST(hostThatWasFrozenUsesTheCapacityOfOthersSoon);
+    CPPUNIT_TEST(formerHolderInAnotherDataCentreIsNotTakenAsSilent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -322,6 +328,71 @@
         }
     }
 
+    // The reports of a silent holder are discarded, so that its capacity isn't known when it is back.
+    void capacityOfAHolderThatWasSilentRepeatedlyIsUsedSoon()
+    {
+        VirtualHosts hosts(LargeFleet, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        fillAllBut(hosts, "h0");
+        hosts.runFor(seconds(1));
+        for (int freeze = 0; freeze < 4; ++freeze) {
+            hosts.freeze("h0");
+            hosts.runFor(ResubmissionDelay);
+            const std::string job = "job" + std::to_string(freeze);
+            hosts.submit("h1", job, JobTimeout);
+            hosts.runFor(milliseconds(50));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.host("h1").waitingJobs("quotes"));
+            hosts.resume("h0");
+            CPPUNIT_ASSERT(hosts.runUntil([&] { return hosts.activeRuns(job) == 1; },
+                                          2 * LivenessTimeouts::HeartbeatInterval));
+        }
+    }
+
+    // A host that wakes takes all others as silent, since it hasn't read their messages yet.
+    void hostThatWasFrozenUsesTheCapacityOfOthersSoon()
+    {
+        for (int phase = 0; phase < 5; ++phase) {
+            VirtualHosts hosts(LargeFleet, ExecutorsPerHost, Capacity);
+            hosts.executors().setRunTime(JobTimeout);
+            fillAllBut(hosts, "h0");
+            hosts.runFor(seconds(1));
+            hosts.freeze("h1");
+            hosts.runFor(seconds(1) + milliseconds(50 * phase));
+            hosts.resume("h1");
+            hosts.runFor(milliseconds(1));
+            // Its own runs may have lapsed.
+            const int jobs = hosts.capacityOf("h1") + 1;
+            submit(hosts, "h1", "next", jobs);
+            const auto isAnyAtOther = [&] {
+                for (int i = 0; i < jobs; ++i) {
+                    const std::string executor = hosts.executorOf("h1next" + std::to_string(i));
+                    if (!executor.empty() && hosts.holderOf(executor) == "h0")
+                        return true;
+                }
+                return false;
+            };
+            CPPUNIT_ASSERT(hosts.runUntil(isAnyAtOther, 2 * LivenessTimeouts::HeartbeatInterval));
+        }
+    }
+
+    // A host in another data centre that shares nothing sends a heartbeat a second, and would be taken as silent
+    // between two of them by one that expects frequent ones, as of the former holder of a run.
+    void formerHolderInAnotherDataCentreIsNotTakenAsSilent()
+    {
+        const std::string joining = "h11";
+        VirtualHosts hosts(LargeFleet, ExecutorsPerHost, Capacity, 2);
+        hosts.executors().setRunTime(JobTimeout);
+        adoptWithout(hosts, {joining}, 2);
+        hosts.runFor(seconds(10));
+        const std::string formerHolder = shareOneRunThatMovesTo(hosts, joining);
+        adoptWithout(hosts, {}, 3);
+        hosts.runFor(seconds(5));
+        CPPUNIT_ASSERT(hosts.host("h0").mesh().isConnected(formerHolder));
+        const bool isClosed = hosts.runUntil(
+                [&] { return !hosts.host("h0").mesh().isConnected(formerHolder); }, seconds(10));
+        CPPUNIT_ASSERT(!isClosed);
+    }
+
 private:
     struct MovedRun
     {
@@ -355,6 +426,51 @@
         return {};
     }
 
+    static void adoptWithout(VirtualHosts &hosts, const std::set<std::string> &missing,
+                             StoreVersion revision)
+    {
+        for (std::size_t i = 0; i < LargeFleet; ++i)
+            hosts.adoptWithout("h" + std::to_string(i), missing, revision);
+    }
+
+    /// Starts a task of h0 on an executor of another data centre that a joining host will hold, and returns
+    /// its present holder. The two hosts share no other run.
+    static std::string shareOneRunThatMovesTo(VirtualHosts &hosts, const std::string &joining)
+    {
+        for (std::size_t i = 0; i < LargeFleet; i += 2) {
+            const std::string host = "h" + std::to_string(i);
+            submit(hosts, host, "long", hosts.capacityOf(host));
+        }
+        hosts.runFor(seconds(1));
+        std::map<std::string, JobNumber> jobs;
+        for (std::size_t i = 0; i < LargeFleet * ExecutorsPerHost; ++i) {
+            const std::string id = "job" + std::to_string(i);
+            jobs[id] = hosts.submit("h0", id, JobTimeout);
+        }
+        hosts.runFor(seconds(1));
+        std::string formerHolder;
+        for (const auto &[id, number] : jobs) {
+            const std::string executor = hosts.executorOf(id);
+            if (formerHolder.empty() && !executor.empty() && hosts.holderOf(executor) == joining)
+                formerHolder = hosts.holderOf(executor, {joining});
+            else
+                hosts.host("h0").cancel(number);
+        }
+        hosts.runFor(seconds(1));
+        CPPUNIT_ASSERT(!formerHolder.empty());
+        return formerHolder;
+    }
+
+    /// Fills the executors of all hosts but one with long runs.
+    static void fillAllBut(VirtualHosts &hosts, const std::string &except)
+    {
+        for (std::size_t i = 0; i < LargeFleet; ++i) {
+            const std::string host = "h" + std::to_string(i);
+            if (host != except)
+                submit(hosts, host, "long", hosts.capacityOf(host));
+        }
+    }
+
     static void submit(VirtualHosts &hosts, const std::string &host, const std::string &prefix,
                        int jobs)
     {
