Count the lease of a start without an answer from when it may be carried out

Evidence: HeldExecutorTest::runIsNotOverWhileALateStartMayRenewItsLease: an end of a run that is still active before.

--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -153,6 +153,8 @@
     if (found == m_runs.end() || found->second.state != RunState::Starting)
         return false;
     found->second.state = RunState::Unconfirmed;
+    if (order.leaseUntil)
+        leaseUnanswered(order.fence);
     if (order.fence == m_fences.current())
         m_fences.raise();
     return true;
--- a/tests/unit/executor/test_heldexecutor.cpp
+++ b/tests/unit/executor/test_heldexecutor.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(answerToAnEarlierStartDoesNotEndALaterRun);
     CPPUNIT_TEST(restartThatAnAnswerToAnEarlierHoldTellsOfIsNoticed);
     CPPUNIT_TEST(runIsNotOverWhileALateHoldMayRenewItsLease);
+    CPPUNIT_TEST(runIsNotOverWhileALateStartMayRenewItsLease);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -550,6 +551,8 @@
         start("running");
         const auto order = m_held->start(runOf("a"), Task);
         CPPUNIT_ASSERT(m_held->startUnanswered(*order));
+        // The start may be carried out late, and renew the lease.
+        m_clock->advance(LongestLease);
         CPPUNIT_ASSERT(lapseAfterClosedConnection().run == runOf("running"));
         m_executor->restart();
         const auto ends = hold(*m_held);
@@ -730,6 +733,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ends.size());
     }
 
+    // The lease that a start requests covers the other runs of the executor as well.
+    void runIsNotOverWhileALateStartMayRenewItsLease()
+    {
+        start("a");
+        auto late = m_held->start(runOf("b"), Task);
+        m_clock->advance(milliseconds(50));
+        CPPUNIT_ASSERT(m_held->startUnanswered(*late));
+        m_clock->advance(milliseconds(900));
+        *late->leaseUntil += milliseconds(900);
+        CPPUNIT_ASSERT(m_executor->start(*late, Task) == StartAnswer::Started);
+        m_clock->advance(milliseconds(500));
+        CPPUNIT_ASSERT(m_held->holdUnanswered().empty());
+        CPPUNIT_ASSERT(m_executor->runs(runOf("a")));
+    }
+
 private:
     [[nodiscard]] std::unique_ptr<HeldExecutor> makeHeld() const
     {
