Refuse a job that is already scheduled here

Cause: a job that is submitted again while its first submission hasn't ended, to the same host or through two hosts that transfer it to one dispatcher, was scheduled beside it. The runs of both have the same names: the second one's records replaced the first one's.

Change: the scheduler keeps an index of the ids and refuses the second submission (alreadyScheduled, with a Retry-After). Cost: a client that comes back before its host has noticed that it was gone gets a 503. Not covered: two dispatchers, and runs of an ended submission whose stops are still on their way.

BatchSchedulerTest:: jobThatIsScheduledAlreadyIsRefused failed before. The suites of batch hosts, host losses, job relays and relayed jobs pass.

--- a/include/anvilmill/scheduling/batchscheduler.h
+++ b/include/anvilmill/scheduling/batchscheduler.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace anvilmill {
@@ -45,6 +46,8 @@
                    BatchOutput &output);
 
     /// \brief Queues a job, or returns why it is refused. A refused job never runs.
+    ///
+    /// A job whose id is that of one that hasn't ended here is refused: both may run the same tasks.
     [[nodiscard]] std::optional<BatchRefusal> submit(JobNumber number, BatchJob job);
 
     /// \brief Ends the job as cancelled and stops its runs; a no-op for an unknown job.
@@ -182,6 +185,8 @@
     RunTimeEstimator m_estimator;
     NameIndex m_routes;
     Jobs m_jobs;
+    /// The ids that the callers of m_jobs have assigned.
+    std::unordered_set<std::string> m_ids;
     std::set<Position> m_queue;
     std::set<std::pair<MonotonicTime, JobNumber>> m_expiries;
     RunningTasks m_running;
--- a/src/lib/scheduling/batchscheduler.cpp
+++ b/src/lib/scheduling/batchscheduler.cpp
@@ -60,6 +60,9 @@
 
 std::optional<BatchRefusal> BatchScheduler::submit(JobNumber number, BatchJob job)
 {
+    // The runs of two submissions have the same identifiers.
+    if (m_ids.count(job.id) > 0)
+        return BatchRefusal{"alreadyScheduled", retryAfter(MinRetryAfter)};
     const std::size_t routeIndex = m_routes.indexOf(job.route->route);
     if (auto refusal = refusalOf(job, routeIndex))
         return refusal;
@@ -73,6 +76,7 @@
     for (std::size_t i = 0; i < job.tasks.size(); ++i)
         entry.queuedWork +=
                 coreSeconds(job.tasks[i].resources, estimatedRunTime(job, routeIndex, i));
+    m_ids.insert(job.id);
     entry.job = std::move(job);
     Job &queued = m_jobs.emplace(number, std::move(entry)).first->second;
     m_queue.insert(positionOf(number, queued));
@@ -442,6 +446,7 @@
     const auto found = m_jobs.find(number);
     const Job job = std::move(found->second);
     m_jobs.erase(found);
+    m_ids.erase(job.job.id);
     m_expiries.erase({job.expiry, number});
     m_queue.erase(positionOf(number, job));
     result.runs = job.runs;
--- a/tests/fakes/virtualhosts.h
+++ b/tests/fakes/virtualhosts.h
@@ -101,6 +101,16 @@
         host(name).setMembership(membershipWithout(missing, revision));
     }
 
+    /// Lets all hosts read a membership with these strengths, in thousandths of a core.
+    void adoptStrengths(const std::map<std::string, std::int64_t> &strengths, StoreVersion revision)
+    {
+        m_membership.revision = revision;
+        for (PeerHost &host : m_membership.hosts)
+            host.milliCores = strengths.at(host.name);
+        for (const auto &[name, host] : m_hosts)
+            host->batchHost->setMembership(m_membership);
+    }
+
     /// Submits a job of one task.
     JobNumber submit(const std::string &name, const std::string &job, Duration timeout)
     {
--- a/tests/unit/scheduling/test_batchscheduler.cpp
+++ b/tests/unit/scheduling/test_batchscheduler.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(ownDataCentreIsPreferredToEquallyFastOthers);
     CPPUNIT_TEST(fasterExecutorIsPreferred);
     CPPUNIT_TEST(ownDataCentreCanBePreferredToFasterOthers);
+    CPPUNIT_TEST(jobThatIsScheduledAlreadyIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -456,6 +457,22 @@
         CPPUNIT_ASSERT_EQUAL(*m_view->find("far"), m_output->starts.back().executor);
     }
 
+    // A client that lost its host submits the job through another one, which transfers it to the same
+    // dispatcher.
+    void jobThatIsScheduledAlreadyIsRefused()
+    {
+        addExecutors(2);
+        submit(1, 1);
+        const auto refusal = m_scheduler->submit(2, jobOf(1, 1, Demand));
+        CPPUNIT_ASSERT(refusal.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("alreadyScheduled"), refusal->cause);
+        CPPUNIT_ASSERT(refusal->retryAfter > Duration{});
+        m_scheduler->place();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_output->starts.size());
+        m_scheduler->cancel(1);
+        CPPUNIT_ASSERT(!m_scheduler->submit(3, jobOf(1, 1, Demand)));
+    }
+
 private:
     void addFullFastAndFreeSlowExecutor()
     {
