Stop a run that was reported as over as soon as it is listed

Cause: the next process of an executor has seen no fence, and may carry out a start that the former one was known to have missed. The holder had reported the run as not started, and its task may run elsewhere.

Change: a holder remembers the runs that it has reported as over without an end from the executor, and stops them once they are listed.

--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -218,7 +218,10 @@
     [[nodiscard]] std::vector<RunEnd> holdUnanswered(bool isClosedByExecutor = false);
 
     /// \brief Runs inherited from an earlier holder that are unclaimed after the orphan grace
-    /// period.
+    /// period, and at once those that this holder has reported as not started, lost or lapsed.
+    ///
+    /// The next process of an executor has seen no fence, and may carry out a start that the former one
+    /// would reject.
     [[nodiscard]] std::vector<RunId> orphans() const;
 
     [[nodiscard]] const ExecutorRegistration &registration() const noexcept
@@ -250,6 +253,8 @@
         MonotonicTime confirmed;
         /// When the run was first requested to stop.
         std::optional<MonotonicTime> stopRequested;
+        /// This holder has reported the run as over before the executor listed it.
+        bool isConcluded = false;
     };
     using Runs = std::map<RunId, Run>;
 
@@ -265,6 +270,8 @@
     void recordOutcome(const RunEnd &end);
     void rememberEnd(const RunId &run);
     [[nodiscard]] bool hasEnded(const RunId &run) const;
+    void rememberConclusion(const RunId &run);
+    [[nodiscard]] bool isConcluded(const RunId &run) const;
     [[nodiscard]] bool isOfEarlierProcess(const HoldReport &report) const noexcept;
     void recordIncarnation(const HoldReport &report);
     void applyEnds(const HoldReport &report, std::vector<RunEnd> &ended);
@@ -284,6 +291,8 @@
     Runs m_runs;
     /// Runs that have ended last; an answer written just before may still list them as active.
     std::deque<RunId> m_recentEnds;
+    /// Runs reported last as over without an end that the executor listed, in the present tenure.
+    std::deque<RunId> m_concludedRuns;
     Resources m_used;
     std::size_t m_inheritedRuns = 0;
     std::uint64_t m_acknowledgedThrough = 0;
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -45,6 +45,7 @@
 void HeldExecutor::acquire(StoreVersion membership)
 {
     m_acquiredFence = m_fences.acquire(membership);
+    m_concludedRuns.clear();
     m_isHeld = true;
     m_hasClosedConnection = false;
     m_hasFenceBeenSeen = false;
@@ -305,6 +306,18 @@
     return std::find(m_recentEnds.begin(), m_recentEnds.end(), run) != m_recentEnds.end();
 }
 
+void HeldExecutor::rememberConclusion(const RunId &run)
+{
+    m_concludedRuns.push_back(run);
+    if (m_concludedRuns.size() > MaxRecentEnds)
+        m_concludedRuns.pop_front();
+}
+
+bool HeldExecutor::isConcluded(const RunId &run) const
+{
+    return std::find(m_concludedRuns.begin(), m_concludedRuns.end(), run) != m_concludedRuns.end();
+}
+
 void HeldExecutor::recordOutcome(const RunEnd &end)
 {
     if (end.outcome == RunOutcome::Done)
@@ -322,6 +335,7 @@
         const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Inherited, {}, 0, {}, {}});
         if (isNew) {
             ++m_inheritedRuns;
+            entry->second.isConcluded = isConcluded(run);
             entry->second.confirmed = m_clock.now();
         } else if (entry->second.state == RunState::Unconfirmed) {
             m_startDelivery.succeeded();
@@ -346,6 +360,7 @@
             if (*outcome == RunOutcome::NotStarted && run->second.fence > 0)
                 m_startDelivery.failed(std::to_string(run->second.fence), m_clock.now());
             ended.push_back({run->first, *outcome, std::nullopt});
+            rememberConclusion(run->first);
             remove(run);
         }
         run = next;
@@ -421,6 +436,7 @@
             const bool wasRunning = run->second.state == RunState::Running;
             ended.push_back({run->first, RunOutcome::Lapsed, std::nullopt,
                              wasRunning && m_hasClosedConnection, true});
+            rememberConclusion(run->first);
             remove(run);
         }
         run = next;
@@ -451,7 +467,7 @@
         return found;
     for (const auto &[id, run] : m_runs) {
         if (run.state == RunState::Inherited
-            && m_clock.now() - run.confirmed >= m_settings.orphanGrace)
+            && (run.isConcluded || m_clock.now() - run.confirmed >= m_settings.orphanGrace))
             found.push_back(id);
     }
     return found;
