--- a/src/daemon/batch/earlyclaims.cpp
+++ b/src/daemon/batch/earlyclaims.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Hosts adopt the same membership within the settle delay of 1.5 s plus the time that a slow store
-/// takes to answer. Less than the time after which a host abandons the runs of a silent holder.
+/// takes to answer. A run whose claim is dropped is stopped as an orphan.
 constexpr Duration ClaimRetention = std::chrono::seconds(2);
 /// Twice the 4,000 runs that a host has at the target size.
 constexpr std::size_t MaxClaims = 8000;
