Believe replies that name no job, as ends that name none

A host of an earlier version doesn't return the number of the job, and its refusals were ignored, so that jobs would have waited until their deadline while versions are mixed.

Change: such a reply counts as that to the present request, as before. Evidence: by reading only; no test runs two versions.

--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -245,7 +245,7 @@
     const auto placed = m_placed.find(run);
     if (placed == m_placed.end())
         return;
-    if (placed->second.job != job) {
+    if (job != 0 && placed->second.job != job) {
         m_metrics.runDecided("replyIgnored");
         LogEvent("run.replyIgnored")
                 .with("task", run.task)
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -150,6 +150,7 @@
     [[nodiscard]] std::string reporterOf(std::size_t executor) const;
     [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
     void startHere(const TaskStart &start);
+    /// \p job is that of the request; 0 if the reply names none.
     void startAnswered(const RunId &run, JobNumber job, bool isAccepted);
     void runEnded(const RunEnd &end, const std::string &executor);
     void handleEnd(const ReportedEnd &reported);
