Test that the age of a start alone keeps it from being carried out

Since leases are limited by the last message of the run's host, HostLossTest::startsThatWaitedAtAFrozenHolderAreNotCarriedOut passed without the check of ages, too: the executor refused the starts, as their leases had expired. It stays as it is; startsThatWaitedBrieflyAtAFrozenHolderAreNotCarriedOut does the same after a shorter freeze.

--- a/tests/system/batch/test_hostlosses.cpp
+++ b/tests/system/batch/test_hostlosses.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(runOfAFrozenHostEndsAlthoughStopsAreLost);
     CPPUNIT_TEST(noStartIsRequestedFromAHolderThatIsSilent);
     CPPUNIT_TEST(startsThatWaitedAtAFrozenHolderAreNotCarriedOut);
+    CPPUNIT_TEST(startsThatWaitedBrieflyAtAFrozenHolderAreNotCarriedOut);
     CPPUNIT_TEST(jobIsStartedWhileAnyOfItsClientsIsConnected);
     CPPUNIT_TEST(replyToAnEarlierSubmissionDoesNotEndTheRunOfTheNext);
     CPPUNIT_TEST(jobCancelledInTheIterationOfItsStartDoesNotRun);
@@ -124,34 +125,13 @@
     // had long been given up, since reading what had waited for it took longer than it paused.
     void startsThatWaitedAtAFrozenHolderAreNotCarriedOut()
     {
-        constexpr std::size_t HostCount = 12;
-        VirtualHosts hosts(HostCount, ExecutorsPerHost, Capacity);
-        hosts.executors().setRunTime(JobTimeout);
-        for (std::size_t i = 1; i < HostCount; ++i) {
-            const std::string host = "h" + std::to_string(i);
-            submit(hosts, host, "long", hosts.capacityOf(host));
-        }
-        hosts.runFor(seconds(1));
-        hosts.freeze("h0");
-        std::map<std::string, std::vector<JobNumber>> stale;
-        for (int i = 0; i < hosts.capacityOf("h0"); ++i) {
-            for (std::size_t j = 1; j < HostCount; ++j) {
-                const std::string host = "h" + std::to_string(j);
-                const std::string job = host + "stale" + std::to_string(i);
-                stale[host].push_back(hosts.submit(host, job, JobTimeout));
-            }
-            hosts.runFor(milliseconds(10));
-        }
-        hosts.runFor(milliseconds(500));
-        for (const auto &[host, jobs] : stale) {
-            for (const JobNumber job : jobs)
-                hosts.host(host).cancel(job);
-        }
-        hosts.runFor(milliseconds(10));
-        const int starts = hosts.executors().starts();
-        hosts.slowDown("h0");
-        hosts.runFor(seconds(2));
-        CPPUNIT_ASSERT_EQUAL(starts, hosts.executors().starts());
+        startsThatWaitedAreNotCarriedOut(milliseconds(500));
+    }
+
+    // After a short freeze the lease that a start may request hasn't expired yet, and only its age counts.
+    void startsThatWaitedBrieflyAtAFrozenHolderAreNotCarriedOut()
+    {
+        startsThatWaitedAreNotCarriedOut(milliseconds(300));
     }
 
     // A client that lost its connection may have returned to the same host on another one.
@@ -426,6 +406,38 @@
         return {};
     }
 
+    static void startsThatWaitedAreNotCarriedOut(Duration wait)
+    {
+        constexpr std::size_t HostCount = 12;
+        VirtualHosts hosts(HostCount, ExecutorsPerHost, Capacity);
+        hosts.executors().setRunTime(JobTimeout);
+        for (std::size_t i = 1; i < HostCount; ++i) {
+            const std::string host = "h" + std::to_string(i);
+            submit(hosts, host, "long", hosts.capacityOf(host));
+        }
+        hosts.runFor(seconds(1));
+        hosts.freeze("h0");
+        std::map<std::string, std::vector<JobNumber>> stale;
+        for (int i = 0; i < hosts.capacityOf("h0"); ++i) {
+            for (std::size_t j = 1; j < HostCount; ++j) {
+                const std::string host = "h" + std::to_string(j);
+                const std::string job = host + "stale" + std::to_string(i);
+                stale[host].push_back(hosts.submit(host, job, JobTimeout));
+            }
+            hosts.runFor(milliseconds(10));
+        }
+        hosts.runFor(wait);
+        for (const auto &[host, jobs] : stale) {
+            for (const JobNumber job : jobs)
+                hosts.host(host).cancel(job);
+        }
+        hosts.runFor(milliseconds(10));
+        const int starts = hosts.executors().starts();
+        hosts.slowDown("h0");
+        hosts.runFor(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(starts, hosts.executors().starts());
+    }
+
     static void adoptWithout(VirtualHosts &hosts, const std::set<std::string> &missing,
                              StoreVersion revision)
     {
