--- a/include/anvilmill/executor/heldexecutor.h
+++ b/include/anvilmill/executor/heldexecutor.h
@@ -109,7 +109,8 @@
 ///
 /// The lease covers all runs of the executor. It is renewed only while each of them is wanted: not
 /// before an inherited run is claimed, nor while the stop of a run is overdue. So an unwanted run ends
-/// within a known time even if no stop arrives.
+/// within a known time even if no stop arrives. For the same reason the caller limits the lease by the
+/// time since it last heard from the hosts that want the runs.
 ///
 /// Thread safety: one thread at a time.
 class HeldExecutor
@@ -155,10 +156,15 @@
     /// std::nullopt if both circuit breakers are closed.
     [[nodiscard]] std::optional<MonotonicTime> nextProbe() const noexcept;
 
-    /// \brief Reserves capacity for \p run; std::nullopt if it doesn't fit or may not start.
-    [[nodiscard]] std::optional<StartOrder> start(const RunId &run, const Resources &demand);
+    /// \brief Reserves capacity for \p run; std::nullopt if it doesn't fit, may not start, or
+    /// \p allowedLease isn't positive.
+    [[nodiscard]] std::optional<StartOrder> start(const RunId &run, const Resources &demand,
+                                                  Duration allowedLease = Duration::max());
 
     /// \brief Applies the answer to a start; returns the run's end if it will never run.
+    ///
+    /// Ignores the answer to an order whose run has been concluded, since the run may have been
+    /// requested again under a later fence.
     [[nodiscard]] std::optional<RunEnd> startAnswered(const StartOrder &order, StartAnswer answer);
 
     /// \brief Handles a start without an answer, which may or may not take effect, by raising the
@@ -183,7 +189,10 @@
 
     /// \brief Returns the next hold, to be sent immediately. Its wait is zero until the executor is
     /// verified and while hasUnconfirmedStarts().
-    [[nodiscard]] HoldOrder nextHold(const HoldIntervals &intervals);
+    ///
+    /// It requests no longer lease than \p allowedLease, and none if that isn't positive.
+    [[nodiscard]] HoldOrder nextHold(const HoldIntervals &intervals,
+                                     Duration allowedLease = Duration::max());
 
     /// \brief Applies the answer to a hold; returns the runs that ended.
     ///
@@ -198,17 +207,21 @@
 
     /// \brief Raises the fence, so that \p order, which got no answer, renews no lease once the executor
     /// has received a later order. Call for each hold without an answer.
-    void invalidateHold(const HoldOrder &order) noexcept;
+    void invalidateHold(const HoldOrder &order);
 
     /// \brief Handles a hold without an answer; returns the runs whose lease has certainly expired.
     ///
-    /// Returns none before a hold of this holder was answered, since an earlier holder that still
+    /// A start without an answer isn't among them: the executor may carry it out at any later time,
+    /// until it has seen a higher fence. Returns none before a hold of this holder was answered, since an earlier holder that still
     /// reaches the executor may be renewing the lease. \p isClosedByExecutor is that of the reply: an
     /// executor that closes its connections and answers nothing more has crashed.
     [[nodiscard]] std::vector<RunEnd> holdUnanswered(bool isClosedByExecutor = false);
 
     /// \brief Runs inherited from an earlier holder that are unclaimed after the orphan grace
-    /// period.
+    /// period, and at once those that this holder has reported as not started, lost or lapsed.
+    ///
+    /// The next process of an executor has seen no fence, and may carry out a start that the former one
+    /// would reject.
     [[nodiscard]] std::vector<RunId> orphans() const;
 
     [[nodiscard]] const ExecutorRegistration &registration() const noexcept
@@ -217,6 +230,7 @@
     }
     [[nodiscard]] bool hasRun(const RunId &run) const { return m_runs.count(run) > 0; }
     [[nodiscard]] std::size_t runs() const noexcept { return m_runs.size(); }
+    [[nodiscard]] std::vector<RunId> runIds() const;
     [[nodiscard]] Fence fence() const noexcept { return m_fences.current(); }
 
 private:
@@ -239,16 +253,25 @@
         MonotonicTime confirmed;
         /// When the run was first requested to stop.
         std::optional<MonotonicTime> stopRequested;
+        /// This holder has reported the run as over before the executor listed it.
+        bool isConcluded = false;
     };
     using Runs = std::map<RunId, Run>;
 
-    [[nodiscard]] std::optional<ExecutorTime> leaseUntil() const;
+    [[nodiscard]] std::optional<ExecutorTime> leaseUntil(Duration allowedLease) const;
+    void leaseUnanswered(Fence fence);
+    void fenceAnswered(Fence fence);
+    [[nodiscard]] MonotonicTime latestEndOfLease() const;
     [[nodiscard]] std::size_t unansweredStarts() const noexcept;
+    /// True if the executor may still carry out the order that started \p run.
+    [[nodiscard]] static bool mayStartLater(const Run &run) noexcept;
     /// True if a run may still be active that no host wants.
     [[nodiscard]] bool hasUnwantedRuns() const noexcept;
     void recordOutcome(const RunEnd &end);
     void rememberEnd(const RunId &run);
     [[nodiscard]] bool hasEnded(const RunId &run) const;
+    void rememberConclusion(const RunId &run);
+    [[nodiscard]] bool isConcluded(const RunId &run) const;
     [[nodiscard]] bool isOfEarlierProcess(const HoldReport &report) const noexcept;
     void recordIncarnation(const HoldReport &report);
     void applyEnds(const HoldReport &report, std::vector<RunEnd> &ended);
@@ -268,6 +291,8 @@
     Runs m_runs;
     /// Runs that have ended last; an answer written just before may still list them as active.
     std::deque<RunId> m_recentEnds;
+    /// Runs reported last as over without an end that the executor listed, in the present tenure.
+    std::deque<RunId> m_concludedRuns;
     Resources m_used;
     std::size_t m_inheritedRuns = 0;
     std::uint64_t m_acknowledgedThrough = 0;
@@ -278,6 +303,13 @@
     MonotonicTime m_leaseInvalidated;
     /// When the last order that may have renewed the lease was sent.
     MonotonicTime m_leaseRequested;
+    /// The highest fence of a hold that was answered.
+    Fence m_answeredFence = 0;
+    /// The fences of holds without an answer that request a lease and may still be carried out.
+    std::vector<Fence> m_openLeases;
+    /// The first fence since this host became the holder. Answers to earlier orders tell nothing of runs
+    /// that other holders have started since.
+    Fence m_acquiredFence = 0;
     bool m_isHeld = false;
     /// True once the executor has answered a hold under a fence raised since the lease was
     /// acquired.
--- a/include/anvilmill/executor/livenesstimeouts.h
+++ b/include/anvilmill/executor/livenesstimeouts.h
@@ -57,18 +57,26 @@
     /// request.
     [[nodiscard]] Duration maxRequestAge() const noexcept { return m_silentAfter / 2; }
 
-    /// \brief Time from the last message of a holder, or from the request of a run if that was later, to
-    /// the end of the runs that this host has there.
-    [[nodiscard]] Duration runsEndedAfter() const noexcept;
+    /// \brief Time from the last message of a host, by the time at which it was sent, to the latest end of a
+    /// lease that is requested for its runs.
+    ///
+    /// Its runs end within the resubmission delay whether or not a stop arrives, if areSufficient().
+    [[nodiscard]] Duration leaseAfterLastMessage() const noexcept
+    {
+        return m_leaseAfterLastMessage;
+    }
 
 private:
     /// From the detection of a silent host to the end of its runs, if no more stops get lost than
     /// MaxLostStops.
     [[nodiscard]] Duration detectionToEnd() const noexcept;
+    /// By how much a run may outlive the time until which its lease was requested.
+    [[nodiscard]] Duration leaseToEnd() const noexcept;
 
     LivenessSettings m_settings;
     HoldSettings m_hold;
     Duration m_silentAfter;
+    Duration m_leaseAfterLastMessage;
 };
 
 } // namespace anvilmill
--- a/src/daemon/batch/batchhost.cpp
+++ b/src/daemon/batch/batchhost.cpp
@@ -42,7 +42,10 @@
     , m_scheduler(clock, random, m_view, *this)
     , m_holder(clock, timers, calls, metrics, settings.hold,
                {[this](const RunEnd &end, const std::string &executor) { runEnded(end, executor); },
-                [this] { capacityChanged(); }})
+                [this] { capacityChanged(); },
+                [this](const RunId &run, const std::string &executor) {
+                    return allowedLeaseFor(m_runs.ownerOf(run, executor).host);
+                }})
     , m_mesh(loop, timers, settings.name, settings.meshAddress,
              {[this](const Frame &frame) { received(frame); },
               [this](const std::string &host) { hostConnected(host); },
@@ -194,21 +197,22 @@
 void BatchHost::startTask(const TaskStart &start)
 {
     const std::string holder = reporterOf(start.executor);
-    m_placed[start.run] = {start.executor, start.demand, holder, m_clock.now(), ""};
+    m_placed[start.run] = {start.task.job, start.executor, start.demand, holder, {}};
     if (holder == m_settings.name) {
         startHere(start);
         return;
     }
     Frame *const frame = m_mesh.frameFor(holder);
     if (!frame) {
-        m_timers.post([this, run = start.run] {
-            startRefused(run);
+        m_timers.post([this, run = start.run, job = start.task.job] {
+            startAnswered(run, job, false);
             schedulePlacement();
         });
         return;
     }
     MeshStart message;
     message.executor = m_view.idOf(start.executor);
+    message.job = static_cast<std::int64_t>(start.task.job);
     setRun(message, start.run);
     setResources(message, start.demand);
     message.spec = mesh::specIndex(*frame, *start.spec);
@@ -218,22 +222,44 @@
 // The scheduler is notified of the outcome only after place() has returned.
 void BatchHost::startHere(const TaskStart &start)
 {
-    const bool isAccepted =
-            m_holder.start(m_view.idOf(start.executor), start.run, start.demand, *start.spec);
-    m_timers.post([this, run = start.run, isAccepted] {
+    const bool isAccepted = m_holder.start(m_view.idOf(start.executor), start.run, start.demand,
+                                           *start.spec, allowedLeaseFor(m_settings.name));
+    m_timers.post([this, run = start.run, job = start.task.job, isAccepted] {
         capacityChanged();
-        if (isAccepted) {
-            m_scheduler.startAccepted(run);
-            return;
-        }
-        startRefused(run);
+        startAnswered(run, job, isAccepted);
         schedulePlacement();
     });
 }
 
-void BatchHost::startRefused(const RunId &run)
+/// Runs without an owner are those of this host's own jobs, and unclaimed ones, for which no lease is
+/// requested anyway.
+Duration BatchHost::allowedLeaseFor(const std::string &owner) const
+{
+    if (owner.empty() || owner == m_settings.name)
+        return Duration::max();
+    return m_timeouts.leaseAfterLastMessage() - m_peers.silence(owner);
+}
+
+void BatchHost::startAnswered(const RunId &run, JobNumber job, bool isAccepted)
 {
-    m_placed.erase(run);
+    const auto placed = m_placed.find(run);
+    if (placed == m_placed.end())
+        return;
+    if (job != 0 && placed->second.job != job) {
+        m_metrics.runDecided("replyIgnored");
+        LogEvent("run.replyIgnored")
+                .with("task", run.task)
+                .with("run", run.number)
+                .with("job", placed->second.job)
+                .with("repliedTo", job)
+                .with("accepted", isAccepted);
+        return;
+    }
+    if (isAccepted) {
+        m_scheduler.startAccepted(run);
+        return;
+    }
+    m_placed.erase(placed);
     m_scheduler.startRefused(run);
 }
 
@@ -245,8 +271,8 @@
     const Placed stopped = placed->second;
     m_placed.erase(placed);
     stopAt(stopped.holder, m_view.idOf(executor), run);
-    if (!stopped.formerHolder.empty())
-        stopAt(stopped.formerHolder, m_view.idOf(executor), run);
+    for (const std::string &former : stopped.formerHolders)
+        stopAt(former, m_view.idOf(executor), run);
 }
 
 void BatchHost::stopAt(const std::string &holder, const std::string &executor, const RunId &run)
@@ -256,7 +282,8 @@
         return;
     }
     Frame *const frame = m_mesh.frameFor(holder);
-    if (!frame)
+    // The receiver handles the stops of a frame before its starts.
+    if (!frame || mesh::withdrawStart(*frame, executor, run))
         return;
     MeshRun message;
     message.executor = executor;
--- a/src/daemon/batch/batchhost.h
+++ b/src/daemon/batch/batchhost.h
@@ -117,15 +117,24 @@
 private:
     struct Placed
     {
+        JobNumber job = 0;
         std::size_t executor = 0;
         Resources demand;
-        /// The host that was last requested to start or adopt the run, and the time of that
-        /// request.
+        /// The host that was last requested to start or adopt the run.
         std::string holder;
-        MonotonicTime requested;
-        /// The holder before the last claim, which continues until it reads of the change; empty if
-        /// the run was not claimed.
-        std::string formerHolder;
+        /// The hosts that were requested before. Each of them may go on renewing the lease until it
+        /// reads that it isn't the holder any more.
+        std::set<std::string> formerHolders;
+    };
+
+    /// The end of a run as reported by the holder of its executor.
+    struct ReportedEnd
+    {
+        RunEnd end;
+        std::string executor;
+        std::string reporter;
+        /// The job of the request or claim; 0 if the reporter knows neither.
+        JobNumber job = 0;
     };
 
     using Frame = wire::meshframe::MeshFrame;
@@ -141,11 +150,12 @@
     [[nodiscard]] std::string reporterOf(std::size_t executor) const;
     [[nodiscard]] std::string holderOfExecutor(std::size_t executor) const;
     void startHere(const TaskStart &start);
-    void startRefused(const RunId &run);
+    /// \p job is that of the request; 0 if the reply names none.
+    void startAnswered(const RunId &run, JobNumber job, bool isAccepted);
     void runEnded(const RunEnd &end, const std::string &executor);
-    void handleEnd(const RunEnd &end, const std::string &executor, const std::string &reporter);
-    [[nodiscard]] bool isEndOf(const Placed &placed, const RunEnd &end, const std::string &executor,
-                               const std::string &reporter) const;
+    void handleEnd(const ReportedEnd &reported);
+    [[nodiscard]] bool isEndOf(const Placed &placed, const ReportedEnd &reported) const;
+    [[nodiscard]] Duration allowedLeaseFor(const std::string &owner) const;
     void capacityChanged();
     void collectCapacityChanges();
     void reportWaiting();
@@ -162,7 +172,7 @@
     void handleClaims(const Frame &frame);
     void handleClaim(const RunClaim &claim);
     void handleStops(const Frame &frame);
-    void sendEnd(const std::string &host, const RunEnd &end, const std::string &executor);
+    void sendEnd(const RunOwner &owner, const RunEnd &end, const std::string &executor);
     void hostConnected(const std::string &host);
     void claimMovedRuns();
     void addClaim(Frame &frame, const RunId &run, const Placed &placed) const;
@@ -170,7 +180,6 @@
     void checkSilence();
     void endSharedWith(const std::string &host);
     void stopRunsOf(const std::string &owner);
-    void abandonRunsAt(const std::string &host, MonotonicTime lastReceived);
     void schedulePlacement();
     void placeAfterYielding();
     void place();
--- a/src/lib/executor/heldexecutor.cpp
+++ b/src/lib/executor/heldexecutor.cpp
@@ -44,11 +44,13 @@
 
 void HeldExecutor::acquire(StoreVersion membership)
 {
-    m_fences.acquire(membership);
+    m_acquiredFence = m_fences.acquire(membership);
+    m_concludedRuns.clear();
     m_isHeld = true;
     m_hasClosedConnection = false;
     m_hasFenceBeenSeen = false;
     m_isVerified = false;
+    m_openLeases.clear();
     m_leaseRequested = m_clock.now();
 }
 
@@ -108,19 +110,25 @@
     return outcomes && delivery ? std::max(*outcomes, *delivery) : outcomes ? outcomes : delivery;
 }
 
-std::optional<StartOrder> HeldExecutor::start(const RunId &run, const Resources &demand)
+std::optional<StartOrder> HeldExecutor::start(const RunId &run, const Resources &demand,
+                                              Duration allowedLease)
 {
-    if (!demand.fitsInto(freeCapacity()) || !mayStart() || m_runs.count(run) > 0)
+    if (!demand.fitsInto(freeCapacity()) || !mayStart() || m_runs.count(run) > 0
+        || allowedLease <= Duration{})
         return std::nullopt;
     m_runs.emplace(run, Run{RunState::Starting, demand, m_fences.current(), {}, {}});
     m_used += demand;
     m_leaseRequested = m_clock.now();
-    return StartOrder{run, m_fences.current(), leaseUntil()};
+    return StartOrder{run, m_fences.current(), leaseUntil(allowedLease)};
 }
 
 std::optional<RunEnd> HeldExecutor::startAnswered(const StartOrder &order, StartAnswer answer)
 {
     const auto found = m_runs.find(order.run);
+    const bool isConcluded = found == m_runs.end() ? m_isHeld && order.fence >= m_acquiredFence
+                                                   : found->second.fence != order.fence;
+    if (isConcluded)
+        return std::nullopt;
     if (answer != StartAnswer::Started) {
         if (found != m_runs.end())
             remove(found);
@@ -146,6 +154,8 @@
     if (found == m_runs.end() || found->second.state != RunState::Starting)
         return false;
     found->second.state = RunState::Unconfirmed;
+    if (order.leaseUntil)
+        leaseUnanswered(order.fence);
     if (order.fence == m_fences.current())
         m_fences.raise();
     return true;
@@ -183,19 +193,20 @@
     return StopOrder{run, m_fences.current()};
 }
 
-HoldOrder HeldExecutor::nextHold(const HoldIntervals &intervals)
+HoldOrder HeldExecutor::nextHold(const HoldIntervals &intervals, Duration allowedLease)
 {
     HoldOrder order;
     order.fence = m_fences.current();
     order.acknowledgedThrough = m_acknowledgedThrough;
     // The lease of an executor that doesn't answer is not renewed, so that its runs end within a
     // known time.
-    const bool isRenewed = m_isVerified && !hasUnwantedRuns();
+    const bool isRenewed = m_isVerified && !hasUnwantedRuns() && allowedLease > Duration{};
     if (isRenewed)
-        order.leaseUntil = leaseUntil();
+        order.leaseUntil = leaseUntil(allowedLease);
+    // The next renewal is due well before a short lease expires.
     if (m_isVerified && !hasUnconfirmedStarts())
         order.wait =
-                isRenewed ? intervals.wait : std::min(intervals.wait, m_settings.unwantedRunWait);
+                std::min(intervals.wait, isRenewed ? allowedLease / 2 : m_settings.unwantedRunWait);
     order.answerTimeout = intervals.answerTimeout;
     order.sent = m_clock.now();
     if (order.leaseUntil)
@@ -203,12 +214,13 @@
     return order;
 }
 
-std::optional<ExecutorTime> HeldExecutor::leaseUntil() const
+std::optional<ExecutorTime> HeldExecutor::leaseUntil(Duration allowedLease) const
 {
     if (!m_executorClock)
         return std::nullopt;
     const Duration since = m_clock.now() - m_executorClockReadAt;
-    return *m_executorClock + durationAs<ExecutorTime>(since + m_settings.longestLease);
+    return *m_executorClock
+           + durationAs<ExecutorTime>(since + std::min(m_settings.longestLease, allowedLease));
 }
 
 std::vector<RunEnd> HeldExecutor::holdAnswered(const HoldOrder &order, const HoldReport &report)
@@ -216,19 +228,24 @@
     std::vector<RunEnd> ended;
     if (!m_isHeld)
         return ended;
+    const bool isOfEarlierFence = order.fence < m_acquiredFence;
     // Until it saw this holder's fence, the executor obeyed an earlier holder.
-    if (!std::exchange(m_hasFenceBeenSeen, true))
+    if (!isOfEarlierFence && !std::exchange(m_hasFenceBeenSeen, true))
         m_leaseRequested = std::max(m_leaseRequested, m_clock.now());
     m_hasClosedConnection = false;
-    if (isOfEarlierProcess(report))
+    // That the executor has restarted is recorded with its clock and its runs, from the first answer that
+    // tells of all three.
+    const bool isOfUnknownProcess = isOfEarlierFence && report.incarnation != m_incarnation;
+    if (isOfEarlierProcess(report) || isOfUnknownProcess)
         return ended;
     const bool isOutdated = report.incarnation == m_incarnation && m_executorClock
                             && report.clock < *m_executorClock;
     const bool isRestarted = m_incarnation != 0 && report.incarnation != m_incarnation;
     recordIncarnation(report);
     applyEnds(report, ended);
-    if (isOutdated)
+    if (isOutdated || isOfEarlierFence)
         return ended;
+    fenceAnswered(order.fence);
     m_executorClock = report.clock;
     m_executorClockReadAt = m_clock.now();
     applyActive(report);
@@ -289,6 +306,18 @@
     return std::find(m_recentEnds.begin(), m_recentEnds.end(), run) != m_recentEnds.end();
 }
 
+void HeldExecutor::rememberConclusion(const RunId &run)
+{
+    m_concludedRuns.push_back(run);
+    if (m_concludedRuns.size() > MaxRecentEnds)
+        m_concludedRuns.pop_front();
+}
+
+bool HeldExecutor::isConcluded(const RunId &run) const
+{
+    return std::find(m_concludedRuns.begin(), m_concludedRuns.end(), run) != m_concludedRuns.end();
+}
+
 void HeldExecutor::recordOutcome(const RunEnd &end)
 {
     if (end.outcome == RunOutcome::Done)
@@ -306,6 +335,7 @@
         const auto [entry, isNew] = m_runs.emplace(run, Run{RunState::Inherited, {}, 0, {}, {}});
         if (isNew) {
             ++m_inheritedRuns;
+            entry->second.isConcluded = isConcluded(run);
             entry->second.confirmed = m_clock.now();
         } else if (entry->second.state == RunState::Unconfirmed) {
             m_startDelivery.succeeded();
@@ -330,6 +360,7 @@
             if (*outcome == RunOutcome::NotStarted && run->second.fence > 0)
                 m_startDelivery.failed(std::to_string(run->second.fence), m_clock.now());
             ended.push_back({run->first, *outcome, std::nullopt});
+            rememberConclusion(run->first);
             remove(run);
         }
         run = next;
@@ -360,31 +391,75 @@
     return true;
 }
 
-void HeldExecutor::invalidateHold(const HoldOrder &order) noexcept
+void HeldExecutor::invalidateHold(const HoldOrder &order)
 {
-    if (order.leaseUntil && order.fence == m_fences.current())
+    if (!order.leaseUntil)
+        return;
+    leaseUnanswered(order.fence);
+    if (order.fence == m_fences.current())
         m_fences.raise();
 }
 
+/// Records an order without an answer, which may renew the lease until the executor has seen a higher fence.
+void HeldExecutor::leaseUnanswered(Fence fence)
+{
+    if (fence >= m_answeredFence)
+        m_openLeases.push_back(fence);
+}
+
+void HeldExecutor::fenceAnswered(Fence fence)
+{
+    m_answeredFence = std::max(m_answeredFence, fence);
+    const auto isRejected = [this](Fence open) { return open < m_answeredFence; };
+    m_openLeases.erase(std::remove_if(m_openLeases.begin(), m_openLeases.end(), isRejected),
+                       m_openLeases.end());
+}
+
+// Each open order may be carried out just before the lease expires, and its lease counts from then.
+MonotonicTime HeldExecutor::latestEndOfLease() const
+{
+    const auto lease =
+            durationAs<Duration>(m_settings.longestLease * (1.0 + m_settings.largestClockDrift));
+    return m_leaseRequested + lease * (1 + m_openLeases.size()) + m_settings.maxTransit;
+}
+
 std::vector<RunEnd> HeldExecutor::holdUnanswered(bool isClosedByExecutor)
 {
     m_isVerified = false;
     m_hasClosedConnection = m_hasClosedConnection || isClosedByExecutor;
     std::vector<RunEnd> ended;
-    const auto lease =
-            durationAs<Duration>(m_settings.longestLease * (1.0 + m_settings.largestClockDrift));
-    if (!m_hasFenceBeenSeen || m_clock.now() < m_leaseRequested + lease + m_settings.maxTransit)
+    if (!m_hasFenceBeenSeen || m_clock.now() < latestEndOfLease())
         return ended;
-    while (!m_runs.empty()) {
-        // A start that was not confirmed may never have reached the executor.
-        const bool wasRunning = m_runs.begin()->second.state == RunState::Running;
-        ended.push_back({m_runs.begin()->first, RunOutcome::Lapsed, std::nullopt,
-                         wasRunning && m_hasClosedConnection, true});
-        remove(m_runs.begin());
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        const auto next = std::next(run);
+        if (!mayStartLater(run->second)) {
+            const bool wasRunning = run->second.state == RunState::Running;
+            ended.push_back({run->first, RunOutcome::Lapsed, std::nullopt,
+                             wasRunning && m_hasClosedConnection, true});
+            rememberConclusion(run->first);
+            remove(run);
+        }
+        run = next;
     }
     return ended;
 }
 
+// A claimed run of an earlier holder has no fence here. The executor rejects that holder's orders once it
+// has seen a fence of this one.
+bool HeldExecutor::mayStartLater(const Run &run) noexcept
+{
+    return run.state == RunState::Starting || (run.state == RunState::Unconfirmed && run.fence > 0);
+}
+
+std::vector<RunId> HeldExecutor::runIds() const
+{
+    std::vector<RunId> ids;
+    ids.reserve(m_runs.size());
+    for (const auto &[id, run] : m_runs)
+        ids.push_back(id);
+    return ids;
+}
+
 std::vector<RunId> HeldExecutor::orphans() const
 {
     std::vector<RunId> found;
@@ -392,7 +467,7 @@
         return found;
     for (const auto &[id, run] : m_runs) {
         if (run.state == RunState::Inherited
-            && m_clock.now() - run.confirmed >= m_settings.orphanGrace)
+            && (run.isConcluded || m_clock.now() - run.confirmed >= m_settings.orphanGrace))
             found.push_back(id);
     }
     return found;
--- a/src/lib/executor/livenesstimeouts.cpp
+++ b/src/lib/executor/livenesstimeouts.cpp
@@ -17,12 +17,15 @@
     : m_settings(settings)
     , m_hold(hold)
     , m_silentAfter(std::max(MinSilentAfter, settings.resubmissionDelay - detectionToEnd()))
+    , m_leaseAfterLastMessage(std::max(MinSilentAfter + hold.longestLease / 2,
+                                       settings.resubmissionDelay - leaseToEnd()))
 {
 }
 
 bool LivenessTimeouts::areSufficient() const noexcept
 {
-    return m_silentAfter + detectionToEnd() <= m_settings.resubmissionDelay;
+    return m_silentAfter + detectionToEnd() <= m_settings.resubmissionDelay
+           && m_leaseAfterLastMessage + leaseToEnd() <= m_settings.resubmissionDelay;
 }
 
 // The silence is noticed by the dispatcher of a transferred job, which tells the holder, which sends
@@ -33,17 +36,11 @@
            + m_settings.stopTime;
 }
 
-// This host goes on sending to a silent holder until it notices the silence and closes the connection.
-// From then on the holder doesn't hear from this host. If all stops get lost, the lease ends the runs.
-// The silence of a holder is looked for with each heartbeat, and counts from the first one after it was
-// sent a request.
-Duration LivenessTimeouts::runsEndedAfter() const noexcept
+Duration LivenessTimeouts::leaseToEnd() const noexcept
 {
-    const Duration noticedHere = HeartbeatInterval + m_silentAfter + HeartbeatInterval + LoopDelay;
-    const Duration noticedThere = m_silentAfter + CheckInterval + LoopDelay;
-    const auto lease = std::chrono::duration_cast<Duration>(m_hold.longestLease
-                                                            * (1.0 + m_hold.largestClockDrift));
-    return noticedHere + RoundTrip + noticedThere + m_hold.stopGrace + lease + m_hold.maxTransit;
+    const auto drift =
+            std::chrono::duration_cast<Duration>(m_hold.longestLease * m_hold.largestClockDrift);
+    return drift + RoundTrip + m_settings.stopTime;
 }
 
 } // namespace anvilmill
