--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -8,6 +8,10 @@
 runs twice at the same time, and none is started on an executor that left long ago. After the faults and a recovery time, jobs must be served again. Each
 seed determines one schedule of faults; the logs of a failed seed are kept.
 
+With --outlive, elapsed time proves nothing: several hosts freeze at a time, executors don't hear their present holder
+any more, carry out what it had sent seconds later, and serve the next one, and some tasks outlive a lease (2 to 6 s,
+whose clients wait for 20 s). It takes a minute a seed.
+
 Usage: tests/process/soak.py ANVILMILL FLEET_STANDIN [--seed N] [--seeds COUNT] [--lane N]
 """
 import argparse
@@ -36,13 +40,17 @@
 CALM_SECONDS = 4
 MEAN_FAULT_INTERVAL_SECONDS = 0.3
 MAX_FAULT_SECONDS = 3.0
+# Of --outlive. The silence of a host is noticed after 0.9 s, and its jobs are submitted again after 1.3 s.
+FREEZE_SECONDS = (0.8, 3.5)
+MOST_FROZEN = 4
+LONG_JOBS_PER_SECOND = 12
 STOP_GRACE_SECONDS = 6
 # Of the store, after the faults of single hosts.
 OUTAGE_SECONDS = 2
 # Minimum fraction of the requests after the recovery that must be served.
 MIN_SERVED_FRACTION = 0.25
 # Concurrent runs need separate ports and addresses. Each run holds its lane's lock port.
-PORTS_PER_LANE = 10
+PORTS_PER_LANE = 16
 LANES = 50
 LOCK_PORT = 27900
 
@@ -53,6 +61,10 @@
         lock = socket.socket()
         try:
             lock.bind(("127.0.0.1", LOCK_PORT + lane))
+            for port in range(PORTS_PER_LANE):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.0.0.1", Addresses(lane).store + port))
             return lane, lock
         except OSError:
             lock.close()
@@ -219,12 +231,25 @@
     FAULTS = [planned_restart, killed, paused, reloaded, store_delayed, store_reset,
               store_cut_one_way, store_silent, store_unanswered]
 
+    def freeze_several(self, busy):
+        """Freezes several hosts without a fault at about the same time; returns these faults."""
+        idle = [host for host in self.hosts if busy[host.index] is None or busy[host.index].done()]
+        faults = set()
+        for host in self.random.sample(idle, min(len(idle), self.random.randint(2, MOST_FROZEN))):
+            length = self.random.uniform(*FREEZE_SECONDS)
+            self.record_fault("frozen", host, length)
+            busy[host.index] = asyncio.create_task(self.paused(host, length))
+            faults.add(busy[host.index])
+        return faults
+
     async def inject_faults(self):
         """Injects faults at random times; a host has at most one fault at a time."""
         running = set()
         busy = {host.index: None for host in self.hosts}
         end = asyncio.get_running_loop().time() + self.options.faults
         while asyncio.get_running_loop().time() < end:
+            if self.options.outlive and self.random.random() < 0.2:
+                running |= self.freeze_several(busy)
             fault = self.random.choice(self.FAULTS)
             host = self.random.choice(self.hosts)
             length = self.random.uniform(0.1, MAX_FAULT_SECONDS)
@@ -253,6 +278,8 @@
                      "--count", EXECUTORS, "--data-centres", DATA_CENTRES, "--scale", self.options.scale,
                      "--settle", SETTLE_SECONDS, "--length", int(load), "--calm", CALM_SECONDS,
                      "--faults", int(self.options.faults), "--seed", self.seed]
+        if self.options.outlive:
+            arguments += ["--partitions", "--long-rate", LONG_JOBS_PER_SECOND]
         for host in self.hosts:
             arguments += ["--host", f"{host.ip}:{CALLER_PORT},{host.ip}:{READY_PORT}"]
         self.standin = await asyncio.create_subprocess_exec(
@@ -312,6 +339,9 @@
                         help="addresses to use, or the next ones that no concurrent run uses")
     parser.add_argument("--scale", type=float, default=0.08)
     parser.add_argument("--hosts", type=int, default=HOSTS, choices=range(2, PORTS_PER_LANE - 1))
+    parser.add_argument("--outlive", action="store_true",
+                        help="several hosts freeze at a time, executors are cut off from their holders, and some "
+                             "tasks outlive a lease")
     options = parser.parse_args()
     options.anvilmill = os.path.abspath(options.anvilmill)
     options.standin = os.path.abspath(options.standin)
