--- /dev/null
+++ b/review/standin-2/scenarios.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace anvilmill::review {
+
+struct Options
+{
+    std::string scenario;
+    std::string store;
+    std::string executors;
+    std::string record;
+    /// Client addresses and process ids of the entry hosts.
+    std::vector<std::string> hosts;
+    std::vector<pid_t> processes;
+    bool hasTrouble = true;
+    std::string trouble;
+};
+
+/// \brief Runs a scenario; returns 1 if its rule was broken, 0 if it held, 2 if it couldn't run.
+[[nodiscard]] int runScenario(const Options &options);
+
+} // namespace anvilmill::review
