--- a/review/standin-2/case.bash
+++ b/review/standin-2/case.bash
@@ -69,8 +69,7 @@
 }
 host_arguments=()
 
-# Runs scenario $1 until its end and exits with its result. Sends the stopped host KILL after grace_s, as the platform
-# does.
+# Runs scenario $1 until its end and exits with its result.
 run_scenario() {
     "$standin" "$@" --store "$store" --executors "$executors" --record "$record" "${host_arguments[@]}" &
     local pid=$!
--- a/review/standin-2/clients.cpp
+++ b/review/standin-2/clients.cpp
@@ -82,16 +82,4 @@
     return host;
 }
 
-void Clients::cancel(const std::string &id, std::size_t host)
-{
-    m_record.line("delete job=" + id + " host=" + std::to_string(host + 1));
-    const daemon::HttpCall call{
-            "DELETE", "/jobs/" + id, "", {{"Host", HostName}}, std::chrono::seconds(2)};
-    m_hosts[host]->send(call, [this, id, host](const daemon::HttpCallResult &result) {
-        m_record.line("deleteAnswer job=" + id + " host=" + std::to_string(host + 1)
-                      + " status=" + std::to_string(result.status) + " body=" + result.body);
-        m_cancelled[id] = {m_timers.now(), result.status};
-    });
-}
-
 } // namespace anvilmill::review
--- a/review/standin-2/clients.h
+++ b/review/standin-2/clients.h
@@ -46,9 +46,6 @@
     /// \brief Sends nothing to the host from now on, since the platform doesn't.
     void setDown(std::size_t host) { m_down.insert(host); }
 
-    /// \brief Cancels a job at a host.
-    void cancel(const std::string &id, std::size_t host);
-
     [[nodiscard]] std::size_t open() const noexcept { return m_open; }
     [[nodiscard]] std::size_t submitted() const noexcept { return m_submitted; }
     /// \brief The answers by status; 0 for a connection that ended without one.
@@ -56,12 +53,6 @@
     {
         return m_answers;
     }
-    /// \brief When the cancellation of a job was answered, and with which status.
-    [[nodiscard]] const std::map<std::string, std::pair<MonotonicTime, unsigned>> &
-    cancelled() const noexcept
-    {
-        return m_cancelled;
-    }
 
 private:
     void send(const Submission &submission, std::size_t host, bool mayResend);
@@ -75,7 +66,6 @@
     std::size_t m_open = 0;
     std::size_t m_submitted = 0;
     std::map<unsigned, std::size_t> m_answers;
-    std::map<std::string, std::pair<MonotonicTime, unsigned>> m_cancelled;
 };
 
 } // namespace anvilmill::review
--- a/review/standin-2/executors.cpp
+++ b/review/standin-2/executors.cpp
@@ -70,7 +70,6 @@
     std::vector<Order> waiting;
     MonotonicTime leaseEnd;
     daemon::TimerQueue::Id leaseTimer;
-    bool isUp = true;
 };
 
 /// An order that has arrived. A late one is carried out without an answer.
@@ -80,7 +79,6 @@
     std::shared_ptr<Executor> executor;
     nlohmann::json call;
     std::string path;
-    std::int64_t born = 0;
     bool isLate = false;
 
     void answer(unsigned status, const nlohmann::json &body) const
@@ -116,22 +114,20 @@
 
 void Executors::writeEntry(Executor &executor)
 {
-    if (executor.isUp) {
-        const nlohmann::json entry = {
-                {"service", "desk"},
-                {"address", m_address},
-                {"zone", executor.dataCentre},
-                {"version", "v1"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"cold_remaining_ms", 0},
-                {"capacity", {{"cpu", executor.milliCores}, {"mem_mb", 65536}, {"gpu", 0}}},
-                {"labels", {"a", "r1-1"}},
-                {"born", executor.born},
-                {"clock_ms", clockOf(executor)},
-                {"seq", ++executor.heartbeats}};
-        m_store.put("servers/" + executor.id, entry.dump());
-    }
+    const nlohmann::json entry = {
+            {"service", "desk"},
+            {"address", m_address},
+            {"zone", executor.dataCentre},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"cold_remaining_ms", 0},
+            {"capacity", {{"cpu", executor.milliCores}, {"mem_mb", 65536}, {"gpu", 0}}},
+            {"labels", {"a", "r1-1"}},
+            {"born", executor.born},
+            {"clock_ms", clockOf(executor)},
+            {"seq", ++executor.heartbeats}};
+    m_store.put("servers/" + executor.id, entry.dump());
     m_timers.after(HeartbeatInterval, [this, &executor] { writeEntry(executor); });
 }
 
@@ -149,11 +145,8 @@
         return;
     }
     const auto &executor = found->second;
-    Order order{exchange,       executor,       nlohmann::json::parse(request.body),
-                request.target, executor->born, false};
+    Order order{exchange, executor, nlohmann::json::parse(request.body), request.target, false};
     const auto fence = order.call.value("fence", std::uint64_t{0});
-    if (!executor->isUp || (m_isCut && m_isCut(executor->id, fence)))
-        return;
     if (m_lateShare > 0.0 && m_random.nextUnit() < m_lateShare) {
         order.isLate = true;
         const auto delay =
@@ -170,8 +163,6 @@
 void Executors::carryOut(const Order &order)
 {
     Executor &executor = *order.executor;
-    if (executor.born != order.born || !executor.isUp)
-        return;
     const auto fence = order.call.value("fence", std::uint64_t{0});
     if (fence < executor.fence) {
         refuse(order, "fence");
@@ -232,10 +223,7 @@
                       + " used=" + std::to_string(used));
     }
     m_timers.after(std::chrono::milliseconds(work.millis),
-                   [this, of = order.executor, run, born = executor.born] {
-                       if (of->born == born)
-                           end(of, run, "done");
-                   });
+                   [this, of = order.executor, run] { end(of, run, "done"); });
     order.answer(200, done);
 }
 
@@ -265,10 +253,7 @@
     const auto active = executor.active.find(run);
     if (active != executor.active.end() && !std::exchange(active->second.isStopping, true)) {
         m_record.line("stop " + nameOf(run) + " executor=" + executor.id);
-        m_timers.after(StopTime, [this, of = order.executor, run, born = executor.born] {
-            if (of->born == born)
-                end(of, run, "stopped");
-        });
+        m_timers.after(StopTime, [this, of = order.executor, run] { end(of, run, "stopped"); });
     }
     order.answer(200, {{"clock_ms", clockOf(executor)}, {"born", executor.born}});
 }
@@ -304,8 +289,6 @@
 void Executors::answerHold(const Order &order)
 {
     const Executor &executor = *order.executor;
-    if (executor.born != order.born || !executor.isUp)
-        return;
     nlohmann::json body = {{"clock_ms", clockOf(executor)},
                            {"born", executor.born},
                            {"active", nlohmann::json::array()},
@@ -328,10 +311,8 @@
         return;
     executor.leaseEnd = until;
     m_timers.cancel(executor.leaseTimer);
-    executor.leaseTimer = m_timers.at(until, [this, id = executor.id, born = executor.born] {
+    executor.leaseTimer = m_timers.at(until, [this, id = executor.id] {
         const auto of = m_executors.at(id);
-        if (of->born != born)
-            return;
         const auto active = of->active;
         for (const auto &[run, each] : active)
             end(of, run, "lapsed");
@@ -351,30 +332,6 @@
         answerHold(order);
 }
 
-void Executors::restart(const std::string &id, Duration down)
-{
-    const auto executor = m_executors.at(id);
-    m_record.line("crash executor=" + id);
-    executor->isUp = false;
-    m_timers.cancel(executor->leaseTimer);
-    for (const auto &[run, active] : executor->active)
-        m_record.line("end " + nameOf(run) + " executor=" + id + " how=crash");
-    executor->active.clear();
-    executor->ended.clear();
-    executor->closed.clear();
-    executor->waiting.clear();
-    executor->lastEnd = 0;
-    executor->fence = 0;
-    executor->leaseEnd = {};
-    m_timers.after(down, [this, executor] {
-        executor->born = millis(std::chrono::system_clock::now().time_since_epoch());
-        executor->began = m_timers.now();
-        executor->heartbeats = 0;
-        executor->isUp = true;
-        m_record.line("up executor=" + executor->id);
-    });
-}
-
 std::size_t Executors::running() const
 {
     std::size_t runs = 0;
@@ -383,22 +340,4 @@
     return runs;
 }
 
-bool Executors::isRunning(const std::string &task) const
-{
-    return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto &entry) {
-        return std::any_of(entry.second->active.begin(), entry.second->active.end(),
-                           [&](const auto &run) { return run.first.first == task; });
-    });
-}
-
-std::map<std::string, std::uint64_t> Executors::fences() const
-{
-    std::map<std::string, std::uint64_t> fences;
-    for (const auto &[id, executor] : m_executors) {
-        if (!executor->active.empty())
-            fences[id] = executor->fence;
-    }
-    return fences;
-}
-
 } // namespace anvilmill::review
--- a/review/standin-2/executors.h
+++ b/review/standin-2/executors.h
@@ -9,10 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,23 +41,9 @@
     /// \brief Leaves a share of the orders unanswered and carries them out 2 to 12 s later.
     void setLateShare(double share) noexcept { m_lateShare = share; }
 
-    /// \brief While \p isCut(executor, fence) is true, orders with that fence don't arrive.
-    void setCut(std::function<bool(const std::string &executor, std::uint64_t fence)> isCut)
-    {
-        m_isCut = std::move(isCut);
-    }
-
-    /// \brief Ends the process of an executor with all that it runs; starts a new one after \p down.
-    void restart(const std::string &id, Duration down);
-
     /// \brief The executors' number of runs at present.
     [[nodiscard]] std::size_t running() const;
-    /// \brief True if a run of \p task is active.
-    [[nodiscard]] bool isRunning(const std::string &task) const;
     [[nodiscard]] std::size_t starts() const noexcept { return m_starts; }
-    /// \brief The executors that have runs, with the highest fence that they have seen.
-    [[nodiscard]] std::map<std::string, std::uint64_t> fences() const;
-
     /// Starts of a task that ran already, and starts beyond an executor's capacity.
     [[nodiscard]] std::size_t doubled() const noexcept { return m_doubled; }
     [[nodiscard]] std::size_t overfilled() const noexcept { return m_overfilled; }
@@ -87,7 +71,6 @@
     std::string m_address;
     SeededRandom m_random;
     double m_lateShare = 0.0;
-    std::function<bool(const std::string &, std::uint64_t)> m_isCut;
     std::map<std::string, std::shared_ptr<Executor>> m_executors;
     std::size_t m_starts = 0;
     std::size_t m_doubled = 0;
--- a/review/standin-2/scenarios.cpp
+++ b/review/standin-2/scenarios.cpp
@@ -96,7 +96,6 @@
     void relayLoss();
     void relayLossOf(std::size_t host, Duration from);
     void stopWaiting();
-    void cancelElsewhere();
 
     Options m_options;
     SystemClock m_clock;
@@ -187,41 +186,12 @@
     });
 }
 
-/// A client cancels its job at another host than the one that took it in.
-void Lab::cancelElsewhere()
-{
-    static constexpr Duration Allowed = milliseconds(3000 + 50);
-    addExecutors(4);
-    at({}, [this] {
-        m_clients.submit({idOf(1), 1, 9000, TaskMilliCores, seconds(PatienceSeconds)}, 0, false);
-    });
-    if (m_options.hasTrouble)
-        at(milliseconds(1000), [this] { m_clients.cancel(idOf(1), 1); });
-    at(milliseconds(1000) + Allowed + milliseconds(500), [this] {
-        if (!m_options.hasTrouble) {
-            finish(m_executors.running() == 1 ? 0 : 2, "nothing was cancelled");
-            return;
-        }
-        const auto answered = m_clients.cancelled().find(idOf(1));
-        if (answered == m_clients.cancelled().end()) {
-            finish(2, "the cancellation has no answer");
-            return;
-        }
-        const bool isLate = m_timers.now() > answered->second.first + Allowed;
-        const bool runs = m_executors.isRunning(idOf(1) + ".0.0.0");
-        finish(isLate && runs ? 1 : 0, "answer " + std::to_string(answered->second.second)
-                                               + ", runs on: " + std::to_string(runs ? 1 : 0));
-    });
-}
-
 int Lab::run()
 {
     if (m_options.scenario == "relay-loss")
         relayLoss();
     else if (m_options.scenario == "stop-waiting")
         stopWaiting();
-    else if (m_options.scenario == "cancel-elsewhere")
-        cancelElsewhere();
     else
         throw std::invalid_argument("unknown scenario " + m_options.scenario);
     m_loop.run();
