--- a/review/standin-2/case.bash
+++ b/review/standin-2/case.bash
@@ -7,10 +7,12 @@
 anvilmill=$root/target/anvilmill
 standin=$root/target/review-2/review_standin
 folder=$(mktemp -d)
-pids=()
 
 cleanup() {
-    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+    # A shell that restarts a host ends that host when it gets TERM.
+    for pid in $(jobs -pr); do kill -TERM "$pid" 2>/dev/null; done
+    sleep 0.2
+    for pid in $(jobs -pr); do kill -KILL "$pid" 2>/dev/null; done
     wait 2>/dev/null
     rm -rf "$folder"
 }
@@ -28,8 +30,8 @@
 store=$network.200:8169
 executors=$network.201:8080
 
-# Starts host $1 (a number) with the CPU share $2, which determines its weight and is not enforced. $3 and $4 are
-# other addresses of the store and of the host's clients.
+# Starts host $1 (a number) with the CPU share $2, which determines its weight and is not enforced. If $3 is given, the
+# host is started again that many seconds after its end, once.
 start_host() {
     local ip=$network.$1
     cat >"$folder/host$1.conf" <<CONF
@@ -58,22 +60,44 @@
 bounds.status_s=120
 bounds.resend_ms=1300
 orders=invoke
-platform.address=${3:-$store}
+platform.address=$store
 platform.form=kv
 CONF
-    (cd "$root" && ANVILMILL_NODE_FILE="$folder/host$1.conf" exec target/anvilmill machine) \
-        >"$folder/host$1.log" 2>&1 &
-    host_pid=$!
-    pids+=("$host_pid")
+    if [ -n "${3:-}" ]; then
+        restarting "$1" "$3" &
+        until [ -s "$folder/pid$1" ]; do sleep 0.01; done
+        host_pid=$(<"$folder/pid$1")
+    else
+        machine "$1" &
+        host_pid=$!
+    fi
     host_arguments+=(--host "$ip:8161,$host_pid")
 }
+
+machine() {
+    cd "$root" && ANVILMILL_NODE_FILE="$folder/host$1.conf" exec target/anvilmill machine >>"$folder/host$1.log" 2>&1
+}
+
+restarting() {
+    trap - EXIT
+    trap '[ -n "$host" ] && kill -KILL "$host" 2>/dev/null; exit' TERM
+    machine "$1" &
+    host=$!
+    echo "$host" >"$folder/pid$1"
+    wait "$host"
+    host=
+    sleep "$2" &
+    wait "$!"
+    machine "$1" &
+    host=$!
+    wait "$host"
+}
 host_arguments=()
 
 # Runs scenario $1 until its end and exits with its result.
 run_scenario() {
     "$standin" "$@" --store "$store" --executors "$executors" --record "$record" "${host_arguments[@]}" &
     local pid=$!
-    pids+=("$pid")
     wait "$pid"
     local result=$?
     [ -n "${KEEP_LOGS:-}" ] && cp "$folder"/*.log "$KEEP_LOGS"
