--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -1,12 +1,12 @@
 /// The users' platform, executors and clients for the cases in review/, in one process.
 ///
-/// Usage: review_standin SCENARIO --store ADDRESS --executors ADDRESS --record FILE [--host ADDRESS,PID]...
-/// The environment variable TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken, with 0
+/// Usage: review_standin SCENARIO --trouble WHICH --store ADDRESS --executors ADDRESS --record FILE
+///        [--host ADDRESS,PID]...
+/// `--trouble 0` leaves the disruption out. Exits with 1 if the rule was broken, with 0
 /// if it held, and with 2 if the case couldn't run.
 
 #include "scenarios.h"
 
-#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -28,6 +28,8 @@
             options.executors = value;
         else if (name == "--record")
             options.record = value;
+        else if (name == "--trouble")
+            options.trouble = value;
         else if (name == "--host") {
             const std::size_t comma = value.find(',');
             options.hosts.push_back(value.substr(0, comma));
@@ -35,9 +37,7 @@
         } else
             throw std::invalid_argument("unknown option " + name);
     }
-    const char *const trouble = std::getenv("TROUBLE");
-    options.hasTrouble = !trouble || std::string(trouble) != "0";
-    options.trouble = trouble ? trouble : "1";
+    options.hasTrouble = options.trouble != "0";
     return options;
 }
 
--- a/review/standin-2/scenarios.h
+++ b/review/standin-2/scenarios.h
@@ -17,7 +17,8 @@
     std::vector<std::string> hosts;
     std::vector<pid_t> processes;
     bool hasTrouble = true;
-    std::string trouble;
+    /// 0: no disruption; kill, late: only one of two; otherwise all.
+    std::string trouble = "1";
 };
 
 /// \brief Runs a scenario; returns 1 if its rule was broken, 0 if it held, 2 if it couldn't run.
