--- a/review/standin-3/fleet.cpp
+++ b/review/standin-3/fleet.cpp
@@ -182,7 +182,7 @@
                                      {"max_attempts", 3},
                                      {"stretch", 1.6},
                                      {"target_duration_ms", 60},
-                                     {"timeout_ms", 10000}}}},
+                                     {"timeout_ms", 1500}}}},
                                   {"services", {{{"name", "desk"}}}}}
                                      .dump());
     m_store.open();
