--- a/review/standin-3/executor.h
+++ b/review/standin-3/executor.h
@@ -4,6 +4,7 @@
 #include "record.h"
 #include "store.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -93,8 +94,8 @@
     /// Ends the lifetime with all that runs. What it wrote into the store stays.
     void crash();
 
-    /// The capacity of the next lifetime.
-    void setCpu(std::int64_t cpu);
+    /// From now on no call gets through to it, nor an answer from it; what has arrived is carried out.
+    void cutOff(std::int64_t milliseconds);
 
     /// To be called every 1.5 s.
     void writeEntry();
@@ -143,6 +144,7 @@
     std::int64_t m_born = 0;
     std::int64_t m_bornAt = 0;
     std::int64_t m_seq = 0;
+    std::atomic<std::int64_t> m_cutOffUntil{0};
     std::int64_t m_fence = 0;
     std::int64_t m_lease = 0;
     std::int64_t m_lastEnd = 0;
